--- /dev/null
+++ b/core/logger/logger.go
@@ -0,0 +1,21 @@
+// Package logger builds the log of a process: one key=value line per event.
+package logger
+
+import (
+	"os"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a logger that writes events of the given level and above to
+// standard error.
+func New(level zapcore.Level, process, node string) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	encoder := zaplogfmt.NewEncoder(config)
+	core := zapcore.NewCore(encoder, zapcore.Lock(os.Stderr), level)
+	return zap.New(core).With(zap.String("process", process), zap.String("node", node))
+}
