Add sessions, replica choice, hedging, limits and the query engine

First versions of the decisions as pure parts, the scatter-gather engine of the gateway and the dispatcher of the relay.

--- /dev/null
+++ b/core/limiter/limiter.go
@@ -0,0 +1,159 @@
+// Package limiter bounds the requests that run at one target and the queue in
+// front of it.
+package limiter
+
+import (
+	"time"
+)
+
+// Config holds the constants of a target's limit.
+type Config struct {
+	// Min and Max bound the limit.
+	Min, Max float64
+	// Initial is the limit before anything is known.
+	Initial float64
+	// Tolerance is the multiple of the lowest recent latency above which the
+	// limit shrinks.
+	Tolerance float64
+	// Backoff multiplies the limit when the target is overloaded.
+	Backoff float64
+	// QueuePerSlot bounds the queue to this multiple of the limit.
+	QueuePerSlot float64
+	// Window is the period after which the lowest latency is forgotten.
+	Window time.Duration
+}
+
+// DefaultConfig returns the constants for a target of the given slots that is
+// shared by the given number of relays.
+func DefaultConfig(slots, owners int) Config {
+	share := max(float64(slots)/float64(max(owners, 1)), 1)
+	return Config{
+		Min:          1,
+		Max:          max(float64(slots), 1),
+		Initial:      share,
+		Tolerance:    2,
+		Backoff:      0.7,
+		QueuePerSlot: 8,
+		Window:       10 * time.Second,
+	}
+}
+
+// Decision says what happens to an offered request.
+type Decision int
+
+// Decisions.
+const (
+	Run Decision = iota
+	Queue
+	Drop
+)
+
+// State is the limit of one target as seen by one relay. It is not safe for
+// concurrent use.
+type State struct {
+	config   Config
+	limit    float64
+	inFlight int
+	queued   int
+	lowest   time.Duration
+	previous time.Duration
+	since    time.Time
+	latency  time.Duration
+	backedAt time.Time
+}
+
+// New returns a state for a target that nothing runs at.
+func New(config Config) *State {
+	return &State{config: config, limit: config.Initial}
+}
+
+// InFlight returns the number of requests that run.
+func (s *State) InFlight() int { return s.inFlight }
+
+// Queued returns the number of requests that wait.
+func (s *State) Queued() int { return s.queued }
+
+// Limit returns the number of requests that may run at once.
+func (s *State) Limit() int { return max(int(s.limit+0.5), 1) }
+
+// Latency returns the recent latency of the target.
+func (s *State) Latency() time.Duration { return s.latency }
+
+// Offer decides on a request that has the given time left.
+func (s *State) Offer(timeLeft time.Duration) Decision {
+	if s.inFlight < s.Limit() {
+		s.inFlight++
+		return Run
+	}
+	if float64(s.queued) >= s.limit*s.config.QueuePerSlot || s.Wait() > timeLeft {
+		return Drop
+	}
+	s.queued++
+	return Queue
+}
+
+// Wait estimates how long a request would take that is queued now.
+func (s *State) Wait() time.Duration {
+	rounds := float64(s.queued)/float64(s.Limit()) + 1
+	return time.Duration(rounds * float64(s.latency))
+}
+
+// Next reports whether a queued request may start, and counts it as running.
+func (s *State) Next() bool {
+	if s.queued == 0 || s.inFlight >= s.Limit() {
+		return false
+	}
+	s.queued--
+	s.inFlight++
+	return true
+}
+
+// Abandon counts a queued request that was dropped or cancelled.
+func (s *State) Abandon() { s.queued-- }
+
+// Done counts the end of a running request and adapts the limit.
+func (s *State) Done(now time.Time, latency time.Duration, overloaded bool) {
+	s.inFlight--
+	if overloaded {
+		s.shrink(now)
+		return
+	}
+	s.observe(now, latency)
+	if s.lowest > 0 && float64(s.latency) > s.config.Tolerance*float64(s.lowest) {
+		s.shrink(now)
+		return
+	}
+	if s.inFlight+1 >= s.Limit() {
+		s.limit = min(s.limit+1/s.limit, s.config.Max)
+	}
+}
+
+// Release counts the end of a running request that says nothing about load.
+func (s *State) Release() { s.inFlight-- }
+
+// shrink lowers the limit at most once per recent latency, because the
+// requests that already ran at the higher limit report the same overload.
+func (s *State) shrink(now time.Time) {
+	if now.Sub(s.backedAt) < s.latency {
+		return
+	}
+	s.backedAt = now
+	s.limit = max(s.limit*s.config.Backoff, s.config.Min)
+}
+
+func (s *State) observe(now time.Time, latency time.Duration) {
+	const weight = 0.1
+	if s.latency == 0 {
+		s.latency = latency
+	}
+	s.latency = time.Duration(weight*float64(latency) + (1-weight)*float64(s.latency))
+	if now.Sub(s.since) >= s.config.Window {
+		s.previous, s.lowest, s.since = s.lowest, 0, now
+	}
+	if s.lowest == 0 || latency < s.lowest {
+		s.lowest = latency
+	}
+	if s.previous > 0 && s.previous < s.lowest {
+		s.lowest = s.previous
+	}
+}
--- /dev/null
+++ b/core/merger/merge.go
@@ -0,0 +1,82 @@
+// Package merger joins the answers of shards and states their coverage.
+package merger
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+)
+
+// Hit is one search result.
+type Hit struct {
+	Service string
+	ID      string
+	Score   float64
+	Title   string
+}
+
+// Compare orders hits by descending score, then by service and identity, so
+// that the same shards always give the same answer.
+func Compare(a, b Hit) int {
+	return cmp.Or(
+		cmp.Compare(b.Score, a.Score),
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+// Merge returns the best hits of several lists, at most limit of them, each
+// service and identity once.
+func Merge(lists [][]Hit, limit int) []Hit {
+	queue := make(listHeap, 0, len(lists))
+	for _, list := range lists {
+		if len(list) == 0 {
+			continue
+		}
+		if !slices.IsSortedFunc(list, Compare) {
+			list = slices.Clone(list)
+			slices.SortFunc(list, Compare)
+		}
+		queue = append(queue, list)
+	}
+	heap.Init(&queue)
+	merged := make([]Hit, 0, limit)
+	for len(queue) > 0 && len(merged) < limit {
+		hit := queue[0][0]
+		if len(merged) == 0 || !same(merged[len(merged)-1], hit) {
+			merged = append(merged, hit)
+		}
+		queue.advance()
+	}
+	return merged
+}
+
+func same(a, b Hit) bool { return a.Service == b.Service && a.ID == b.ID }
+
+// listHeap is a heap of sorted lists by their first hit.
+type listHeap [][]Hit
+
+func (h listHeap) Len() int           { return len(h) }
+func (h listHeap) Less(i, j int) bool { return Compare(h[i][0], h[j][0]) < 0 }
+func (h listHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push appends a list.
+func (h *listHeap) Push(x any) { *h = append(*h, x.([]Hit)) }
+
+// Pop removes the last list.
+func (h *listHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// advance drops the first hit of the first list.
+func (h *listHeap) advance() {
+	(*h)[0] = (*h)[0][1:]
+	if len((*h)[0]) == 0 {
+		heap.Pop(h)
+		return
+	}
+	heap.Fix(h, 0)
+}
--- /dev/null
+++ b/core/messenger/stream.go
@@ -0,0 +1,129 @@
+package messenger
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"jackdawcart.org/core/buffer"
+	"jackdawcart.org/core/messenger/peerpb"
+)
+
+const (
+	// MaxFrameSize is the largest frame that is read from a peer, in bytes.
+	MaxFrameSize = 1 << 20
+	// sendRingSize bounds the frames that wait for a slow peer.
+	sendRingSize = 4096
+	bufferSize   = 16 << 10
+)
+
+// Stream carries frames in both directions, in order.
+type Stream struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	out    *buffer.Ring[*peerpb.Frame]
+	ctx    context.Context
+	cancel context.CancelFunc
+	closed sync.Once
+}
+
+func newStream(conn net.Conn) *Stream {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Stream{
+		conn:   conn,
+		reader: bufio.NewReaderSize(conn, bufferSize),
+		out:    buffer.NewRing[*peerpb.Frame](sendRingSize),
+		ctx:    ctx,
+		cancel: cancel,
+	}
+	go s.write()
+	return s
+}
+
+// Send queues a frame without waiting. An error of KindFull or KindClosed
+// means that the frame has not been written.
+func (s *Stream) Send(frame *peerpb.Frame) error {
+	if s.ctx.Err() != nil {
+		return &Error{Op: "send", Kind: KindClosed}
+	}
+	if !s.out.Put(frame) {
+		return &Error{Op: "send", Kind: KindFull}
+	}
+	return nil
+}
+
+// Receive waits for the next frame. Only one goroutine may call it.
+func (s *Stream) Receive() (*peerpb.Frame, error) {
+	return readFrame(s.reader)
+}
+
+// Done returns a channel that is closed when the stream has ended.
+func (s *Stream) Done() <-chan struct{} { return s.ctx.Done() }
+
+// Close ends the stream; frames still queued may be lost.
+func (s *Stream) Close() error {
+	var err error
+	s.closed.Do(func() {
+		s.cancel()
+		err = s.conn.Close()
+	})
+	return err
+}
+
+// write sends queued frames and flushes whenever the ring is empty, so that
+// frames of concurrent queries share one write.
+func (s *Stream) write() {
+	defer s.Close()
+	writer := bufio.NewWriterSize(s.conn, bufferSize)
+	for {
+		frame, ok := s.out.Take(s.ctx)
+		if !ok {
+			return
+		}
+		for ok {
+			if err := writeFrame(writer, frame); err != nil {
+				return
+			}
+			frame, ok = s.out.TryTake()
+		}
+		if err := writer.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+func writeFrame(w io.Writer, frame *peerpb.Frame) error {
+	_, err := protodelim.MarshalTo(w, frame)
+	return err
+}
+
+func readFrame(r protodelim.Reader) (*peerpb.Frame, error) {
+	frame := &peerpb.Frame{}
+	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameSize}
+	err := options.UnmarshalFrom(r, frame)
+	if err == nil {
+		return frame, nil
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+		return nil, &Error{Op: "receive", Kind: KindClosed, Err: err}
+	}
+	return nil, &Error{Op: "receive", Kind: KindMalformed, Err: err}
+}
+
+// byteReader reads single bytes without buffering, so that nothing after the
+// frame is taken from the connection.
+type byteReader struct {
+	io.Reader
+}
+
+// ReadByte reads one byte.
+func (r byteReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r.Reader, b[:])
+	return b[0], err
+}
--- /dev/null
+++ b/core/planner/table.go
@@ -0,0 +1,282 @@
+// Package planner chooses the set, the snapshot and the shard map of a query
+// and lists the replicas that can answer each shard.
+package planner
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/parser"
+)
+
+// Phase is what the relays know of a target's readiness.
+type Phase = peerpb.TargetPhase
+
+// Snapshot is one version of a set's index with its shard map.
+type Snapshot struct {
+	ID       string
+	Sequence uint64
+	Shards   []Shard
+}
+
+// Shard is one part of a snapshot; its weight is its share of the documents.
+type Shard struct {
+	Name   string
+	Weight uint64
+}
+
+// Replica is a target together with the relays that own connections to it.
+type Replica struct {
+	Service       string
+	Set           string
+	Target        string
+	Address       netip.AddrPort
+	FailureDomain string
+	Slots         int
+	Phase         Phase
+	// Since is when the target entered its phase, as seen here.
+	Since  time.Time
+	Owners []string
+
+	snapshots []*peerpb.Snapshot
+}
+
+// Holds reports whether the replica holds the shard of the snapshot.
+func (r *Replica) Holds(snapshot, shard string) bool {
+	for _, s := range r.snapshots {
+		if s.Id == snapshot {
+			return slices.Contains(s.Held, shard)
+		}
+	}
+	return false
+}
+
+// view is an immutable state of the table.
+type view struct {
+	documents map[string]*Service
+	replicas  map[setKey][]*Replica
+}
+
+type setKey struct{ service, set string }
+
+// Service is a document in force.
+type Service struct {
+	Document *parser.Document
+	Revision uint64
+}
+
+type targetKey struct{ service, set, target string }
+
+// Table is what a gateway knows of services and targets. Readers take an
+// immutable view, so that a query never sees half of an update.
+type Table struct {
+	view atomic.Pointer[view]
+
+	mu      sync.Mutex
+	reports map[targetKey]map[string]*peerpb.TargetState
+	phases  map[targetKey]phaseSince
+}
+
+type phaseSince struct {
+	phase Phase
+	since time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	t := &Table{
+		reports: make(map[targetKey]map[string]*peerpb.TargetState),
+		phases:  make(map[targetKey]phaseSince),
+	}
+	t.view.Store(&view{documents: map[string]*Service{}, replicas: map[setKey][]*Replica{}})
+	return t
+}
+
+// Service returns the document in force for a service.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.view.Load().documents[name]
+	return s, ok
+}
+
+// Services returns the names of all services in force.
+func (t *Table) Services() []string {
+	return slices.Sorted(maps.Keys(t.view.Load().documents))
+}
+
+// Replicas returns the known replicas of a set. They must not be modified.
+func (t *Table) Replicas(service, set string) []*Replica {
+	return t.view.Load().replicas[setKey{service, set}]
+}
+
+// Put brings a document into force, unless a newer revision already is.
+func (t *Table) Put(doc *parser.Document, revision uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := t.copyView()
+	if known, ok := next.documents[doc.Service]; ok && known.Revision >= revision {
+		return
+	}
+	next.documents[doc.Service] = &Service{Document: doc, Revision: revision}
+	t.rebuild(next, doc.Service, now)
+	t.view.Store(next)
+}
+
+// Delete takes a service out of force.
+func (t *Table) Delete(service string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := t.copyView()
+	delete(next.documents, service)
+	t.rebuild(next, service, now)
+	t.view.Store(next)
+}
+
+// Apply takes over what relays report of their targets. A report older than
+// the last one from the same relay is ignored.
+func (t *Table) Apply(states []*peerpb.TargetState, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := make(map[string]struct{})
+	for _, state := range states {
+		if t.record(state) {
+			changed[state.Service] = struct{}{}
+		}
+	}
+	t.publish(changed, now)
+}
+
+// ForgetRelay drops the reports of a relay that has died or left.
+func (t *Table) ForgetRelay(relay string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := make(map[string]struct{})
+	for key, reports := range t.reports {
+		if _, ok := reports[relay]; !ok {
+			continue
+		}
+		delete(reports, relay)
+		if len(reports) == 0 {
+			delete(t.reports, key)
+		}
+		changed[key.service] = struct{}{}
+	}
+	t.publish(changed, now)
+}
+
+func (t *Table) publish(services map[string]struct{}, now time.Time) {
+	if len(services) == 0 {
+		return
+	}
+	next := t.copyView()
+	for service := range services {
+		t.rebuild(next, service, now)
+	}
+	t.view.Store(next)
+}
+
+func (t *Table) record(state *peerpb.TargetState) bool {
+	key := targetKey{state.Service, state.Set, state.Target}
+	reports, ok := t.reports[key]
+	if !ok {
+		reports = make(map[string]*peerpb.TargetState)
+		t.reports[key] = reports
+	}
+	last, ok := reports[state.Relay]
+	if ok && !newer(state, last) {
+		return false
+	}
+	reports[state.Relay] = state
+	return true
+}
+
+func newer(a, b *peerpb.TargetState) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+func (t *Table) copyView() *view {
+	current := t.view.Load()
+	return &view{documents: maps.Clone(current.documents), replicas: maps.Clone(current.replicas)}
+}
+
+// rebuild joins the document of a service with the reports on its targets. A
+// target that the document no longer names gets no new work.
+func (t *Table) rebuild(next *view, service string, now time.Time) {
+	maps.DeleteFunc(next.replicas, func(key setKey, _ []*Replica) bool { return key.service == service })
+	entry, ok := next.documents[service]
+	if !ok {
+		return
+	}
+	for _, set := range entry.Document.Sets {
+		replicas := make([]*Replica, 0, len(set.Targets))
+		for _, target := range set.Targets {
+			replicas = append(replicas, t.replica(service, set.Name, target, now))
+		}
+		next.replicas[setKey{service, set.Name}] = replicas
+	}
+}
+
+func (t *Table) replica(service, set string, target parser.Target, now time.Time) *Replica {
+	key := targetKey{service, set, target.Name}
+	r := &Replica{
+		Service: service, Set: set, Target: target.Name, Address: target.Address,
+		FailureDomain: target.FailureDomain, Slots: target.Slots,
+	}
+	var newest uint64
+	for relay, report := range t.reports[key] {
+		if report.Phase == peerpb.TargetPhase_TARGET_PHASE_UNKNOWN {
+			continue
+		}
+		r.Owners = append(r.Owners, relay)
+		r.Phase = mergePhase(r.Phase, report.Phase)
+		if sequence := newestSequence(report.Snapshots); r.snapshots == nil || sequence >= newest {
+			r.snapshots, newest = report.Snapshots, sequence
+		}
+	}
+	slices.Sort(r.Owners)
+	last := t.phases[key]
+	if last.phase != r.Phase {
+		last = phaseSince{r.Phase, now}
+		t.phases[key] = last
+	}
+	r.Since = last.since
+	return r
+}
+
+// mergePhase lets a sign of leaving win over every other report, and any
+// report of a serving target over one of a lost connection.
+func mergePhase(a, b Phase) Phase {
+	rank := func(p Phase) int {
+		switch p {
+		case peerpb.TargetPhase_TARGET_PHASE_DRAINING:
+			return 4
+		case peerpb.TargetPhase_TARGET_PHASE_SERVING:
+			return 3
+		case peerpb.TargetPhase_TARGET_PHASE_STARTING:
+			return 2
+		case peerpb.TargetPhase_TARGET_PHASE_LOST:
+			return 1
+		default:
+			return 0
+		}
+	}
+	if rank(b) > rank(a) {
+		return b
+	}
+	return a
+}
+
+func newestSequence(snapshots []*peerpb.Snapshot) uint64 {
+	var newest uint64
+	for _, s := range snapshots {
+		newest = max(newest, s.Sequence)
+	}
+	return newest
+}
--- /dev/null
+++ b/core/pooler/pool.go
@@ -0,0 +1,343 @@
+// Package pooler holds the HTTP connections of a relay to one target.
+package pooler
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"jackdawcart.org/core/messenger/peerpb"
+)
+
+const (
+	// maxAnswerSize bounds what is read from a target, in bytes.
+	maxAnswerSize  = 1 << 20
+	connectTimeout = time.Second
+	// cancelGrace is how long a cancelled request may take to end before its
+	// connection is closed.
+	cancelGrace = 50 * time.Millisecond
+	// silentFactor and silentMin say when a connection without an answer is
+	// taken for silent, provided that others of the same target answer.
+	silentFactor = 10
+	silentMin    = 100 * time.Millisecond
+	idleTimeout  = 90 * time.Second
+	// executeConnections of the allotment are kept for requests that must not
+	// use a pooled connection.
+	executeConnections = 1
+	latencyWeight      = 0.1
+)
+
+// CancelMode is a way to give up a running request.
+type CancelMode int
+
+// Cancel modes.
+const (
+	// CancelByRequest sends a cancel request and keeps the connection.
+	CancelByRequest CancelMode = iota
+	// CancelByClose closes the connection, which then has to be replaced.
+	CancelByClose
+)
+
+// Config describes the connections to one target.
+type Config struct {
+	Address netip.AddrPort
+	// Allotment is the most connections that this relay opens.
+	Allotment int
+	Cancel    CancelMode
+}
+
+// Search is one sub-request as sent to a target.
+type Search struct {
+	QueryID  string `json:"query-id"`
+	SubID    string `json:"sub-id"`
+	Shard    string `json:"shard"`
+	Snapshot string `json:"snapshot"`
+	Text     string `json:"text"`
+	Limit    int    `json:"limit"`
+
+	Traceparent string `json:"-"`
+}
+
+// SearchAnswer is a target's answer to a Search.
+type SearchAnswer struct {
+	QueryID  string `json:"query-id"`
+	SubID    string `json:"sub-id"`
+	Shard    string `json:"shard"`
+	Snapshot string `json:"snapshot"`
+	Hits     []Hit  `json:"hits"`
+}
+
+// Hit is one result.
+type Hit struct {
+	ID    string  `json:"id"`
+	Score float64 `json:"score"`
+	Title string  `json:"title"`
+}
+
+// Execute is a non-idempotent request as sent to a target.
+type Execute struct {
+	RequestID string `json:"request-id"`
+	Operation string `json:"operation"`
+	Payload   string `json:"payload"`
+
+	Traceparent string `json:"-"`
+}
+
+// ExecuteAnswer is a target's answer to an Execute.
+type ExecuteAnswer struct {
+	RequestID string `json:"request-id"`
+	Result    string `json:"result"`
+}
+
+// Status is what a target says of itself; it may lag or mislead.
+type Status struct {
+	Target    string     `json:"target"`
+	State     string     `json:"state"`
+	InFlight  int        `json:"in-flight"`
+	Slots     int        `json:"slots"`
+	Snapshots []Snapshot `json:"snapshots"`
+}
+
+// Snapshot is a version of the index that a target knows.
+type Snapshot struct {
+	ID       string   `json:"id"`
+	Sequence uint64   `json:"sequence"`
+	Shards   []Shard  `json:"shards"`
+	Held     []string `json:"held"`
+}
+
+// Shard is one part of a snapshot.
+type Shard struct {
+	Name   string `json:"name"`
+	Weight uint64 `json:"weight"`
+}
+
+// Pool sends requests to one target. It is safe for concurrent use.
+type Pool struct {
+	config  Config
+	base    string
+	pooled  *http.Transport
+	single  *http.Transport
+	answers atomic.Int64
+	latency atomic.Int64
+	silent  atomic.Int64
+	opened  atomic.Int64
+}
+
+// New returns a pool without open connections.
+func New(config Config) *Pool {
+	p := &Pool{config: config, base: "http://" + config.Address.String()}
+	p.pooled = p.transport(max(config.Allotment-executeConnections, 1))
+	p.single = p.transport(executeConnections)
+	p.single.DisableKeepAlives = true
+	return p
+}
+
+func (p *Pool) transport(connections int) *http.Transport {
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			p.opened.Add(1)
+			return dialer.DialContext(ctx, network, addr)
+		},
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Opened returns the number of connections that have been opened.
+func (p *Pool) Opened() int64 { return p.opened.Load() }
+
+// Silent returns the number of connections found silent.
+func (p *Pool) Silent() int64 { return p.silent.Load() }
+
+// Close closes the idle connections; running requests end first.
+func (p *Pool) Close() {
+	p.pooled.CloseIdleConnections()
+	p.single.CloseIdleConnections()
+}
+
+// Search runs a sub-request. When ctx ends the request is cancelled.
+func (p *Pool) Search(ctx context.Context, deadline time.Time, search *Search) (*SearchAnswer, error) {
+	started := time.Now()
+	var answer SearchAnswer
+	err := p.guarded(ctx, deadline, search, &answer)
+	if err != nil {
+		return nil, err
+	}
+	p.answered(time.Since(started))
+	if answer.QueryID != search.QueryID || answer.SubID != search.SubID {
+		p.pooled.CloseIdleConnections()
+		return nil, &Error{Op: "search", Kind: KindCrossed, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN}
+	}
+	return &answer, nil
+}
+
+// guarded runs a search and watches for a connection that has gone silent.
+func (p *Pool) guarded(ctx context.Context, deadline time.Time, search *Search, answer *SearchAnswer) error {
+	request, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(cancelGrace))
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		done <- p.post(request, p.pooled, "/v1/search", deadline, search.Traceparent, search, answer)
+	}()
+	started := time.Now()
+	before := p.answers.Load()
+	watch := time.NewTimer(p.silentAfter())
+	defer watch.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ctx.Done():
+			return p.giveUp(cancel, done, search)
+		case <-watch.C:
+			if p.answers.Load() == before {
+				watch.Reset(p.silentAfter())
+				before = p.answers.Load()
+				continue
+			}
+			p.silent.Add(1)
+			cancel()
+			<-done
+			// Connections that idled as long as this one are as suspect.
+			p.pooled.CloseIdleConnections()
+			return &Error{Op: "search", Kind: KindSilent, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Waited: time.Since(started)}
+		}
+	}
+}
+
+// giveUp cancels a running search in the configured way.
+func (p *Pool) giveUp(cancel context.CancelFunc, done <-chan error, search *Search) error {
+	if p.config.Cancel == CancelByRequest {
+		go p.cancelRequest(search)
+		select {
+		case <-done:
+			return &Error{Op: "search", Kind: KindCancelled, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN}
+		case <-time.After(cancelGrace):
+		}
+	}
+	cancel()
+	<-done
+	return &Error{Op: "search", Kind: KindCancelled, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN}
+}
+
+func (p *Pool) cancelRequest(search *Search) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelGrace)
+	defer cancel()
+	body := struct {
+		QueryID string `json:"query-id"`
+		SubID   string `json:"sub-id"`
+	}{search.QueryID, search.SubID}
+	// A cancel that fails leaves the work to its deadline.
+	_ = p.post(ctx, p.pooled, "/v1/cancel", time.Now().Add(cancelGrace), "", body, nil)
+}
+
+// Execute runs a non-idempotent request on a connection of its own, so that it
+// can neither meet a silent connection nor be sent twice by the transport.
+func (p *Pool) Execute(ctx context.Context, deadline time.Time, execute *Execute) (*ExecuteAnswer, error) {
+	var written atomic.Bool
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		// Once a connection is handed over, bytes may leave at any moment.
+		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
+	})
+	var answer ExecuteAnswer
+	err := p.post(ctx, p.single, "/v1/execute", deadline, execute.Traceparent, execute, &answer)
+	if err == nil && answer.RequestID != execute.RequestID {
+		err = &Error{Op: "execute", Kind: KindCrossed, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN}
+	}
+	if err == nil {
+		return &answer, nil
+	}
+	var failure *Error
+	if errors.As(err, &failure) && !written.Load() {
+		failure.Outcome = peerpb.Outcome_OUTCOME_NOT_RUN
+	}
+	return nil, err
+}
+
+// Status asks the target for its state.
+func (p *Pool) Status(ctx context.Context) (*Status, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.base+"/v1/status", nil)
+	if err != nil {
+		return nil, &Error{Op: "status", Kind: KindMalformed, Err: err}
+	}
+	var status Status
+	if err := p.do(p.pooled, request, &status); err != nil {
+		return nil, err
+	}
+	return &status, nil
+}
+
+func (p *Pool) post(ctx context.Context, via *http.Transport, path string, deadline time.Time, traceparent string, body, answer any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return &Error{Op: "encode", Kind: KindMalformed, Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Err: err}
+	}
+	left := time.Until(deadline)
+	if left <= 0 {
+		return &Error{Op: "send", Kind: KindDeadline, Outcome: peerpb.Outcome_OUTCOME_NOT_RUN}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.base+path, bytes.NewReader(encoded))
+	if err != nil {
+		return &Error{Op: "send", Kind: KindMalformed, Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Err: err}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Deadline", left.String())
+	if traceparent != "" {
+		request.Header.Set("Traceparent", traceparent)
+	}
+	return p.do(via, request, answer)
+}
+
+func (p *Pool) do(via *http.Transport, request *http.Request, answer any) error {
+	response, err := via.RoundTrip(request)
+	if err != nil {
+		return connectionError(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize+1))
+	if err != nil {
+		return connectionError(err)
+	}
+	if len(body) > maxAnswerSize {
+		return &Error{Op: "receive", Kind: KindMalformed, Outcome: peerpb.Outcome_OUTCOME_RAN}
+	}
+	if response.StatusCode != http.StatusOK {
+		return targetError(response.StatusCode, body)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return &Error{Op: "receive", Kind: KindMalformed, Outcome: peerpb.Outcome_OUTCOME_RAN, Err: err}
+	}
+	return nil
+}
+
+func (p *Pool) answered(latency time.Duration) {
+	p.answers.Add(1)
+	// Concurrent updates may lose a sample, which does not matter here.
+	old := p.latency.Load()
+	if old == 0 {
+		p.latency.Store(int64(latency))
+		return
+	}
+	p.latency.Store(int64(latencyWeight*float64(latency) + (1-latencyWeight)*float64(old)))
+}
+
+func (p *Pool) silentAfter() time.Duration {
+	return max(silentFactor*time.Duration(p.latency.Load()), silentMin)
+}
--- /dev/null
+++ b/core/scatterer/answer.go
@@ -0,0 +1,50 @@
+package scatterer
+
+import "jackdawcart.org/core/merger"
+
+// answer merges what has arrived and states its coverage.
+func (q *query) answer() *Answer {
+	answer := &Answer{QueryID: q.id, Stats: q.stats, Complete: true}
+	var total merger.Coverage
+	var lists [][]merger.Hit
+	known := 0
+	for _, p := range q.parts {
+		coverage, missing := p.coverage()
+		if coverage.Share() > 0 || len(p.plan.Shards) > 0 {
+			known++
+		}
+		total.Join(coverage)
+		answer.Complete = answer.Complete && coverage.Complete()
+		answer.Services = append(answer.Services, ServiceAnswer{
+			Service:  p.plan.Service,
+			Set:      p.plan.Set,
+			Snapshot: p.plan.Snapshot,
+			Coverage: coverage.Share(),
+			Missing:  missing,
+		})
+		for _, s := range p.subs {
+			lists = append(lists, s.hits)
+			answer.Overloaded = answer.Overloaded || (!s.answered && s.overloaded)
+		}
+	}
+	answer.Hits = merger.Merge(lists, q.request.Limit)
+	answer.Coverage = total.Share()
+	if known < len(q.parts) {
+		// The weight of a service without a known shard map cannot be stated, so
+		// each service counts equally towards the upper bound.
+		answer.Coverage *= float64(known) / float64(len(q.parts))
+	}
+	return answer
+}
+
+func (p *part) coverage() (merger.Coverage, []string) {
+	var coverage merger.Coverage
+	missing := []string{}
+	for _, s := range p.subs {
+		coverage.Add(s.shard.Shard.Weight, s.answered)
+		if !s.answered {
+			missing = append(missing, s.shard.Shard.Name)
+		}
+	}
+	return coverage, missing
+}
--- /dev/null
+++ b/core/scatterer/receive.go
@@ -0,0 +1,184 @@
+package scatterer
+
+import (
+	"time"
+
+	"jackdawcart.org/core/merger"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/selector"
+)
+
+// receive takes an answer of a sub-request. Only an answer that matches the
+// sub-request, the attempt, the shard and the pinned snapshot counts.
+func (q *query) receive(answer *peerpb.SubAnswer) {
+	if int(answer.Sub) >= len(q.subs) {
+		q.engine.late.Add(1)
+		return
+	}
+	s := q.subs[answer.Sub]
+	a := s.attempt(answer.Attempt)
+	if a == nil || a.done {
+		q.engine.late.Add(1)
+		return
+	}
+	if answer.Failure != peerpb.FailureKind_FAILURE_NONE {
+		batches := make(map[string]*peerpb.Batch)
+		q.noteLoad(s, a, answer.Load)
+		q.fail(s, answer.Attempt, answer.Failure, batches)
+		q.send(batches)
+		return
+	}
+	if answer.Shard != s.shard.Shard.Name || answer.Snapshot != s.part.plan.Snapshot {
+		batches := make(map[string]*peerpb.Batch)
+		q.fail(s, answer.Attempt, peerpb.FailureKind_FAILURE_MISMATCH, batches)
+		q.send(batches)
+		return
+	}
+	q.succeed(s, a, answer)
+}
+
+func (q *query) succeed(s *sub, a *attempt, answer *peerpb.SubAnswer) {
+	a.done = true
+	now := q.engine.timers.Now()
+	latency := now.Sub(a.sent)
+	state := s.part.state
+	state.mu.Lock()
+	state.selector.Succeeded(a.replica.Target, latency, loadOf(answer.Load))
+	state.hedger.Observe(now, latency)
+	state.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.answered = true
+	s.hits = hitsOf(a.replica.Service, answer.Hits)
+	q.end(s)
+	q.cancelAttempts(s)
+}
+
+func (q *query) noteLoad(s *sub, a *attempt, load *peerpb.TargetLoad) {
+	if load == nil {
+		return
+	}
+	state := s.part.state
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	state.selector.Report(a.replica.Target, loadOf(load))
+}
+
+// fail ends an attempt and, where it may help, starts another.
+func (q *query) fail(s *sub, number uint32, kind peerpb.FailureKind, batches map[string]*peerpb.Batch) {
+	a := s.attempt(number)
+	if a == nil || a.done {
+		return
+	}
+	a.done = true
+	now := q.engine.timers.Now()
+	q.noteFailure(s, a, kind, now)
+	if s.ended {
+		return
+	}
+	if kind == peerpb.FailureKind_FAILURE_OVERLOADED || kind == peerpb.FailureKind_FAILURE_DEADLINE {
+		s.overloaded = true
+	}
+	if q.retry(s, kind, now, batches) || s.inFlight() {
+		return
+	}
+	if kind == peerpb.FailureKind_FAILURE_SNAPSHOT_GONE {
+		q.abandonSnapshot(s.part, batches)
+		return
+	}
+	q.end(s)
+}
+
+func (q *query) noteFailure(s *sub, a *attempt, kind peerpb.FailureKind, now time.Time) {
+	state := s.part.state
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	switch kind {
+	case peerpb.FailureKind_FAILURE_CANCELLED:
+		state.selector.Cancelled(a.replica.Target, now.Sub(a.sent))
+	case peerpb.FailureKind_FAILURE_OVERLOADED, peerpb.FailureKind_FAILURE_DEADLINE,
+		peerpb.FailureKind_FAILURE_SNAPSHOT_GONE, peerpb.FailureKind_FAILURE_NOT_OWNER:
+		state.selector.Released(a.replica.Target)
+	default:
+		state.selector.Failed(now, a.replica.Target)
+	}
+}
+
+// retry starts another attempt. Attempts that follow one which cost a target
+// nothing are free; all others share the budget of the hedges.
+func (q *query) retry(s *sub, kind peerpb.FailureKind, now time.Time, batches map[string]*peerpb.Batch) bool {
+	if len(s.attempts) >= q.engine.config.MaxAttempts || !now.Before(q.deadline) {
+		return false
+	}
+	free := costsNothing(kind)
+	if !free && !q.withdraw(s.part) {
+		return false
+	}
+	if !q.start(s, now, batches) {
+		if !free {
+			q.refund(s.part)
+		}
+		return false
+	}
+	q.stats.Retries++
+	return true
+}
+
+func costsNothing(kind peerpb.FailureKind) bool {
+	switch kind {
+	case peerpb.FailureKind_FAILURE_UNREACHABLE, peerpb.FailureKind_FAILURE_NOT_OWNER,
+		peerpb.FailureKind_FAILURE_DRAINING, peerpb.FailureKind_FAILURE_SNAPSHOT_GONE:
+		return true
+	default:
+		return false
+	}
+}
+
+func (q *query) cancelAttempts(s *sub) {
+	for _, a := range s.attempts {
+		if a.done {
+			continue
+		}
+		a.done = true
+		state := s.part.state
+		state.mu.Lock()
+		state.selector.Cancelled(a.replica.Target, q.engine.timers.Now().Sub(a.sent))
+		state.mu.Unlock()
+		q.engine.transport.Cancel(a.relay, &peerpb.Cancel{QueryId: q.id, Sub: s.number, Attempt: a.number})
+	}
+}
+
+func (s *sub) attempt(number uint32) *attempt {
+	for _, a := range s.attempts {
+		if a.number == number {
+			return a
+		}
+	}
+	return nil
+}
+
+func (s *sub) inFlight() bool {
+	for _, a := range s.attempts {
+		if !a.done {
+			return true
+		}
+	}
+	return false
+}
+
+func loadOf(load *peerpb.TargetLoad) selector.Load {
+	return selector.Load{
+		InFlight: int(load.GetInFlight()),
+		Queued:   int(load.GetQueued()),
+		Limit:    int(load.GetLimit()),
+	}
+}
+
+func hitsOf(service string, hits []*peerpb.Hit) []merger.Hit {
+	converted := make([]merger.Hit, len(hits))
+	for i, h := range hits {
+		converted[i] = merger.Hit{Service: service, ID: h.Id, Score: h.Score, Title: h.Title}
+	}
+	return converted
+}
--- a/core/timer/timer.go
+++ b/core/timer/timer.go
@@ -73,6 +73,13 @@
 	delete(sub.service.subs, sub)
 }
 
+// Reset makes a single tick fire one delay from now.
+func (sub *Subscription) Reset(delay time.Duration) {
+	if sub.once != nil {
+		sub.once.Reset(delay)
+	}
+}
+
 func (sub *Subscription) halt() {
 	if sub.ticker != nil {
 		sub.ticker.Stop()
