--- /dev/null
+++ b/core/validator/schema.go
@@ -0,0 +1,145 @@
+// Package validator checks JSON with comments against a JSON schema and
+// reports every mistake at once with its file, line and field.
+package validator
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// maxNameLength keeps a name within one segment of a store key.
+const maxNameLength = 63
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+	english     = message.NewPrinter(language.English)
+)
+
+// Schema is a compiled JSON schema. Besides the formats of JSON schema it
+// knows "go-duration", "address-port" and "key-name".
+type Schema struct {
+	compiled *jsonschema.Schema
+}
+
+// MustCompile compiles a schema that is part of the program and panics when it
+// is invalid.
+func MustCompile(name string, text []byte) *Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		panic(fmt.Sprintf("validator: schema %s: %v", name, err))
+	}
+	compiler := jsonschema.NewCompiler()
+	compiler.AssertFormat()
+	for format, check := range formats {
+		compiler.RegisterFormat(&jsonschema.Format{Name: format, Validate: ofString(check)})
+	}
+	if err := compiler.AddResource(name, doc); err != nil {
+		panic(fmt.Sprintf("validator: schema %s: %v", name, err))
+	}
+	return &Schema{compiled: compiler.MustCompile(name)}
+}
+
+// Check returns every mistake of the source against the schema.
+func (s *Schema) Check(source *Source) Problems {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(source.Standard()))
+	if err != nil {
+		return Problems{source.Problem("", err.Error())}
+	}
+	err = s.compiled.Validate(doc)
+	if err == nil {
+		return nil
+	}
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return Problems{source.Problem("", err.Error())}
+	}
+	return collect(source, invalid)
+}
+
+// collect returns the problems of the leaves of an error tree.
+func collect(source *Source, invalid *jsonschema.ValidationError) Problems {
+	if len(invalid.Causes) > 0 {
+		var problems Problems
+		for _, cause := range invalid.Causes {
+			problems = append(problems, collect(source, cause)...)
+		}
+		return problems
+	}
+	pointer := ""
+	for _, part := range invalid.InstanceLocation {
+		pointer += "/" + escape(part)
+	}
+	var problems Problems
+	switch k := invalid.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		for _, name := range k.Properties {
+			problems = append(problems, source.Problem(pointer+"/"+escape(name), "unknown name"))
+		}
+	case *kind.Required:
+		for _, name := range k.Missing {
+			problems = append(problems, source.Problem(pointer+"/"+escape(name), "missing"))
+		}
+	case *kind.Format:
+		source.invalid = append(source.invalid, pointer)
+		problems = append(problems, source.Problem(pointer, k.Err.Error()))
+	default:
+		source.invalid = append(source.invalid, pointer)
+		problems = append(problems, source.Problem(pointer, k.LocalizedString(english)))
+	}
+	return problems
+}
+
+var formats = map[string]func(string) error{
+	"go-duration":  checkDuration,
+	"address-port": checkAddress,
+	"key-name":     CheckName,
+}
+
+func ofString(check func(string) error) func(any) error {
+	return func(v any) error {
+		text, ok := v.(string)
+		if !ok {
+			return nil
+		}
+		return check(text)
+	}
+}
+
+func checkDuration(text string) error {
+	if _, err := time.ParseDuration(text); err != nil {
+		return fmt.Errorf("%q is not a duration such as \"2s\" or \"130ms\"", text)
+	}
+	return nil
+}
+
+func checkAddress(text string) error {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return fmt.Errorf("%q is not an IP address with a port, such as \"10.0.0.7:8080\"", text)
+	}
+	if address.Port() == 0 {
+		return fmt.Errorf("%q has no port", text)
+	}
+	return nil
+}
+
+// CheckName returns an error unless the name fits one segment of a store key:
+// lower-case letters, digits, dots and hyphens, and no longer than 63 bytes.
+func CheckName(name string) error {
+	if len(name) > maxNameLength {
+		return fmt.Errorf("name is %d bytes long, the limit is %d", len(name), maxNameLength)
+	}
+	if !namePattern.MatchString(name) {
+		return fmt.Errorf("%q is not a name of lower-case letters, digits, dots and hyphens", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/validator/validator_test.go
@@ -0,0 +1,51 @@
+package validator_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"jackdawcart.org/core/validator"
+)
+
+func ExampleSchema_Check() {
+	schema := validator.MustCompile("example", []byte(`{
+		"type": "object",
+		"required": ["name"],
+		"additionalProperties": false,
+		"properties": {"name": {"type": "string"}, "ports": {"items": {"type": "integer"}}}
+	}`))
+	source, problems := validator.Parse("file.json", []byte(`{
+  "ports": [1, "two"], // a string
+  "ports": [],
+  "port": 3,
+}`), 1000)
+	problems = append(problems, schema.Check(source)...)
+	problems.Sort()
+	fmt.Println(problems)
+	// Output:
+	// file.json:1: name: missing
+	// file.json:3: ports: name is given twice
+	// file.json:4: port: unknown name
+}
+
+// A syntax error must be reported at its own line.
+func ExampleParse_syntax() {
+	_, problems := validator.Parse("file.json", []byte("{\n  \"a\": 1\n  \"b\": 2\n}"), 1000)
+	fmt.Println(problems)
+	// Output: file.json:3: invalid character '"' after object value (expecting ',' or '}')
+}
+
+// Deep nesting would exhaust the stack of the recursive parser. Brackets in
+// strings and comments don't nest.
+func TestParseRefusesDeepNesting(t *testing.T) {
+	_, problems := validator.Parse("deep", []byte(strings.Repeat("[", 1<<20)), 1<<20)
+	if len(problems) != 1 || !strings.Contains(problems[0].Message, "nested") {
+		t.Errorf("got %v", problems)
+	}
+	brackets := strings.Repeat("[", 100)
+	text := fmt.Sprintf("// %s\n{/* %s */ \"a\": \"\\\"%s\"}", brackets, brackets, brackets)
+	if _, problems = validator.Parse("flat", []byte(text), 1000); len(problems) != 0 {
+		t.Errorf("got %v", problems)
+	}
+}
