--- /dev/null
+++ b/core/administrator/administrator.go
@@ -0,0 +1,87 @@
+// Package administrator serves the operators' HTTP interface of a process:
+// health, readiness, metrics and views of its state.
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+const (
+	headerTimeout  = 2 * time.Second
+	requestTimeout = 10 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// Readiness tells whether a process may receive work, and why not.
+type Readiness func() (ready bool, reason string)
+
+// View returns a state to show as JSON.
+type View func(request *http.Request) any
+
+// Server is the admin interface of one process.
+type Server struct {
+	mux      *http.ServeMux
+	server   *http.Server
+	listener net.Listener
+}
+
+// New returns a server with health, readiness and metrics endpoints.
+func New(ready Readiness, metrics http.Handler) *Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/health", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, map[string]string{"state": "healthy"})
+	})
+	mux.HandleFunc("GET /v1/ready", func(w http.ResponseWriter, _ *http.Request) {
+		ok, reason := ready()
+		if !ok {
+			writeJSON(w, http.StatusServiceUnavailable, map[string]string{"state": "not-ready", "reason": reason})
+			return
+		}
+		writeJSON(w, http.StatusOK, map[string]string{"state": "ready"})
+	})
+	mux.Handle("GET /metrics", metrics)
+	return &Server{
+		mux: mux,
+		server: &http.Server{
+			Handler:           mux,
+			ReadHeaderTimeout: headerTimeout,
+			ReadTimeout:       requestTimeout,
+			WriteTimeout:      requestTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+		},
+	}
+}
+
+// Show adds a view under /v1/admin/.
+func (s *Server) Show(name string, view View) {
+	s.mux.HandleFunc("GET /v1/admin/"+name, func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, view(r))
+	})
+}
+
+// Listen starts to serve at the address.
+func (s *Server) Listen(ctx context.Context, addr netip.AddrPort) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", addr.String())
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindAddress, Err: err}
+	}
+	s.listener = listener
+	go s.server.Serve(listener) //nolint:errcheck // Serve ends with the error of Close.
+	return nil
+}
+
+// Close stops the server.
+func (s *Server) Close() error { return s.server.Close() }
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A write fails only when the operator's connection is gone.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/core/dispatcher/dispatcher.go
+++ b/core/dispatcher/dispatcher.go
@@ -104,16 +104,24 @@
 
 // Submit runs a job, or replies at once why it was not run.
 func (d *Dispatcher) Submit(job *Job) {
+	if failure := d.enqueue(job); failure != peerpb.FailureKind_FAILURE_NONE {
+		job.Reply(refusal(failure))
+	}
+}
+
+// enqueue holds the lock while it fills the inbox, so that no job can reach a
+// target that has been stopped and has emptied its inbox.
+func (d *Dispatcher) enqueue(job *Job) peerpb.FailureKind {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	t, ok := d.targets[job.Target]
-	d.mu.Unlock()
 	if !ok {
-		job.Reply(refusal(peerpb.FailureKind_FAILURE_NOT_OWNER))
-		return
+		return peerpb.FailureKind_FAILURE_NOT_OWNER
 	}
 	if !t.inbox.Put(event{kind: eventSubmit, job: job}) {
-		job.Reply(refusal(peerpb.FailureKind_FAILURE_OVERLOADED))
+		return peerpb.FailureKind_FAILURE_OVERLOADED
 	}
+	return peerpb.FailureKind_FAILURE_NONE
 }
 
 // Cancel gives up a job of a query.
--- a/core/loader/keys.go
+++ b/core/loader/keys.go
@@ -89,3 +89,15 @@
 	}
 	return keys, nil
 }
+
+// SharedKeys returns the keys as plain bytes, for the code that derives
+// identities and tags from them.
+func (s *KeySource) SharedKeys() [][]byte {
+	// When the file cannot be read any more, the former keys stay in use.
+	keys, _ := s.Keys()
+	shared := make([][]byte, len(keys))
+	for i, key := range keys {
+		shared[i] = key
+	}
+	return shared
+}
--- a/core/messenger/identity.go
+++ b/core/messenger/identity.go
@@ -15,7 +15,7 @@
 // KeySource gives the shared keys: the first one is used, all are accepted.
 // It is asked at each handshake, so that keys can change without a restart.
 type KeySource interface {
-	Keys() [][]byte
+	SharedKeys() [][]byte
 }
 
 // serverName is the name in every certificate; peers are known by key, not by name.
@@ -55,7 +55,7 @@
 
 // tlsConfig returns a configuration for either side of a session.
 func tlsConfig(keys KeySource) (*tls.Config, error) {
-	shared := keys.Keys()
+	shared := keys.SharedKeys()
 	if len(shared) == 0 {
 		return nil, &Error{Op: "load-keys", Kind: KindUnauthenticated}
 	}
--- a/core/messenger/session_test.go
+++ b/core/messenger/session_test.go
@@ -17,7 +17,7 @@
 
 type fixedKeys [][]byte
 
-func (k fixedKeys) Keys() [][]byte { return k }
+func (k fixedKeys) SharedKeys() [][]byte { return k }
 
 // serve accepts sessions and echoes every frame of their streams.
 func serve(t *testing.T, keys messenger.KeySource) netip.AddrPort {
--- a/core/messenger/stream.go
+++ b/core/messenger/stream.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// MaxFrameSize is the largest frame that is read from a peer, in bytes.
-	MaxFrameSize = 1 << 20
+	// MaxFrameSize is the largest frame that is read from a peer, in bytes. It is
+	// above the largest value of the platform's store, so that any document fits.
+	MaxFrameSize = 2 << 20
 	// sendRingSize bounds the frames that wait for a slow peer.
 	sendRingSize = 4096
 	bufferSize   = 16 << 10
--- /dev/null
+++ b/relay/acceptor/acceptor.go
@@ -0,0 +1,97 @@
+// Package acceptor accepts the sessions of other processes and hands each
+// stream to its handler.
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/messenger"
+	"jackdawcart.org/core/messenger/peerpb"
+)
+
+// maxHandshakes bounds the connections that have not yet shown a key.
+const maxHandshakes = 256
+
+// Handler serves one stream, which ends when the handler returns.
+type Handler func(ctx context.Context, peer *peerpb.Hello, stream *messenger.Stream)
+
+// Acceptor listens for sessions.
+type Acceptor struct {
+	keys    messenger.KeySource
+	hello   *peerpb.Hello
+	handler Handler
+	log     *zap.Logger
+
+	handshakes chan struct{}
+	running    sync.WaitGroup
+}
+
+// New returns an acceptor that hands streams to handler.
+func New(keys messenger.KeySource, hello *peerpb.Hello, handler Handler, log *zap.Logger) *Acceptor {
+	return &Acceptor{
+		keys: keys, hello: hello, handler: handler, log: log,
+		handshakes: make(chan struct{}, maxHandshakes),
+	}
+}
+
+// Listen opens the address of the process.
+func Listen(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: KindAddress, Err: err}
+	}
+	return listener, nil
+}
+
+// Run accepts sessions until the context ends, then waits for their streams.
+func (a *Acceptor) Run(ctx context.Context, listener net.Listener) {
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	defer a.running.Wait()
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			a.log.Warn("accept failed", zap.Error(err))
+			continue
+		}
+		select {
+		case a.handshakes <- struct{}{}:
+			a.running.Go(func() { a.serve(ctx, conn) })
+		default:
+			a.log.Warn("too many handshakes, connection refused", zap.Stringer("peer", conn.RemoteAddr()))
+			conn.Close()
+		}
+	}
+}
+
+func (a *Acceptor) serve(ctx context.Context, conn net.Conn) {
+	session, err := messenger.Accept(ctx, conn, a.keys, a.hello)
+	<-a.handshakes
+	if err != nil {
+		a.log.Warn("session refused", zap.Stringer("peer", conn.RemoteAddr()), zap.Error(err))
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	defer session.Close()
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			return
+		}
+		a.running.Go(func() {
+			defer stream.Close()
+			a.handler(ctx, session.Peer(), stream)
+		})
+	}
+}
--- /dev/null
+++ b/relay/acceptor/error.go
@@ -0,0 +1,22 @@
+package acceptor
+
+import "fmt"
+
+// Kind classifies an error of this package.
+type Kind string
+
+// KindAddress means that the address cannot be listened at.
+const KindAddress Kind = "address"
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the message, prefixed with its origin.
+func (e *Error) Error() string { return fmt.Sprintf("acceptor: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/relay/connector/client.go
@@ -0,0 +1,98 @@
+package connector
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"jackdawcart.org/core/dispatcher"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/pooler"
+	"jackdawcart.org/core/tracer"
+)
+
+// client runs the jobs of one target through its pool.
+type client struct {
+	pool   *pooler.Pool
+	tracer *tracer.Tracer
+	ended  func(result dispatcher.Result)
+}
+
+// Do runs a job and reports how it ended.
+func (c *client) Do(ctx context.Context, job *dispatcher.Job) dispatcher.Result {
+	ctx = tracer.WithTraceparent(ctx, job.Traceparent)
+	ctx, span := c.tracer.Start(ctx, "sub-request",
+		attribute.String("service", job.Service),
+		attribute.String("target", job.Target),
+		attribute.String("shard", job.Shard),
+	)
+	defer span.End()
+	var result dispatcher.Result
+	if job.Execute != nil {
+		result = c.execute(ctx, job)
+	} else {
+		result = c.search(ctx, job)
+	}
+	if result.Failure != peerpb.FailureKind_FAILURE_NONE {
+		span.SetAttributes(attribute.String("failure", result.Failure.String()))
+	}
+	c.ended(result)
+	return result
+}
+
+// Close releases the pool's connections.
+func (c *client) Close() { c.pool.Close() }
+
+func (c *client) search(ctx context.Context, job *dispatcher.Job) dispatcher.Result {
+	answer, err := c.pool.Search(ctx, job.Deadline, &pooler.Search{
+		QueryID:     job.QueryID,
+		SubID:       strconv.FormatUint(uint64(job.Sub), 10) + "." + strconv.FormatUint(uint64(job.Attempt), 10),
+		Shard:       job.Shard,
+		Snapshot:    job.Snapshot,
+		Text:        job.Text,
+		Limit:       job.Limit,
+		Traceparent: tracer.Traceparent(ctx),
+	})
+	if err != nil {
+		return failed(err)
+	}
+	result := dispatcher.Result{
+		Outcome:  peerpb.Outcome_OUTCOME_RAN,
+		Snapshot: answer.Snapshot,
+		Shard:    answer.Shard,
+		Hits:     make([]*peerpb.Hit, len(answer.Hits)),
+	}
+	for i, hit := range answer.Hits {
+		result.Hits[i] = &peerpb.Hit{Id: hit.ID, Score: hit.Score, Title: hit.Title}
+	}
+	return result
+}
+
+// execute runs a non-idempotent request. The deadline is checked once more on
+// the monotonic clock, because the process may have been paused since it was queued.
+func (c *client) execute(ctx context.Context, job *dispatcher.Job) dispatcher.Result {
+	if !time.Now().Before(job.Deadline) {
+		return dispatcher.Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: peerpb.FailureKind_FAILURE_DEADLINE}
+	}
+	answer, err := c.pool.Execute(ctx, job.Deadline, &pooler.Execute{
+		RequestID:   job.Execute.RequestId,
+		Operation:   job.Execute.Operation,
+		Payload:     string(job.Execute.Payload),
+		Traceparent: tracer.Traceparent(ctx),
+	})
+	if err != nil {
+		return failed(err)
+	}
+	return dispatcher.Result{Outcome: peerpb.Outcome_OUTCOME_RAN, Output: []byte(answer.Result)}
+}
+
+func failed(err error) dispatcher.Result {
+	var failure *pooler.Error
+	if !errors.As(err, &failure) {
+		return dispatcher.Result{Failure: peerpb.FailureKind_FAILURE_TARGET}
+	}
+	return dispatcher.Result{Outcome: failure.Outcome, Failure: failure.Failure()}
+}
--- /dev/null
+++ b/relay/connector/connector.go
@@ -0,0 +1,135 @@
+// Package connector holds a relay's connections to the targets that it owns,
+// and learns their state.
+package connector
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/dispatcher"
+	"jackdawcart.org/core/limiter"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/pooler"
+	"jackdawcart.org/core/timer"
+	"jackdawcart.org/core/tracer"
+)
+
+const (
+	// statusPeriod is how often a target is asked for its state. Three missed
+	// or misleading answers still leave time within the 3 s in which a leaving
+	// target must stop getting work.
+	statusPeriod  = 500 * time.Millisecond
+	statusTimeout = 400 * time.Millisecond
+	// lostAfter is the number of failed status calls after which a target
+	// counts as lost.
+	lostAfter = 2
+	// warmConnections are opened ahead of demand by concurrent status calls.
+	warmConnections = 2
+)
+
+// Target is a target to own, with the connections allowed to this relay.
+type Target struct {
+	Service       string
+	Set           string
+	Name          string
+	Address       netip.AddrPort
+	FailureDomain string
+	Slots         int
+	Allotment     int
+	// Owners is the number of relays that share the target.
+	Owners int
+}
+
+// Publisher is told the state of each target whenever it changes.
+type Publisher interface {
+	PutTarget(state *peerpb.TargetState)
+	RemoveTarget(service, set, target string)
+}
+
+// Connector owns targets. The address identifies a target, because two
+// services may be served by one process.
+type Connector struct {
+	relay       string
+	incarnation uint64
+	timers      *timer.Service
+	dispatcher  *dispatcher.Dispatcher
+	publisher   Publisher
+	tracer      *tracer.Tracer
+	log         *zap.Logger
+
+	mu      sync.Mutex
+	owned   map[netip.AddrPort]*ownedTarget
+	running sync.WaitGroup
+}
+
+// New returns a connector that owns no target.
+func New(relay string, incarnation uint64, timers *timer.Service, d *dispatcher.Dispatcher, p Publisher, t *tracer.Tracer, log *zap.Logger) *Connector {
+	return &Connector{
+		relay: relay, incarnation: incarnation, timers: timers, dispatcher: d,
+		publisher: p, tracer: t, log: log,
+		owned: make(map[netip.AddrPort]*ownedTarget),
+	}
+}
+
+// Own makes the given targets the owned ones: it connects to new ones, and
+// ends the work of those that are no longer named.
+func (c *Connector) Own(targets []Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wanted := make(map[netip.AddrPort]Target, len(targets))
+	for _, t := range targets {
+		wanted[t.Address] = t
+	}
+	for address, owned := range c.owned {
+		if t, ok := wanted[address]; !ok || t != owned.config {
+			c.drop(owned)
+		}
+	}
+	for address, t := range wanted {
+		if _, ok := c.owned[address]; !ok {
+			c.owned[address] = c.connect(t)
+		}
+	}
+}
+
+// Owned returns the number of owned targets.
+func (c *Connector) Owned() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.owned)
+}
+
+// Close gives every target up and waits until running jobs have ended.
+func (c *Connector) Close() {
+	c.Own(nil)
+	c.running.Wait()
+}
+
+func (c *Connector) drop(owned *ownedTarget) {
+	owned.stop()
+	c.dispatcher.Remove(owned.config.Address.String())
+	c.publisher.RemoveTarget(owned.config.Service, owned.config.Set, owned.config.Name)
+	delete(c.owned, owned.config.Address)
+	c.log.Info("target released", zap.String("target", owned.config.Name), zap.Stringer("address", owned.config.Address))
+}
+
+func (c *Connector) connect(t Target) *ownedTarget {
+	ctx, cancel := context.WithCancel(context.Background())
+	owned := &ownedTarget{
+		connector: c, config: t, stop: cancel,
+		pool: pooler.New(pooler.Config{Address: t.Address, Allotment: t.Allotment}),
+		poll: make(chan struct{}, 1),
+	}
+	c.dispatcher.Put(dispatcher.TargetConfig{
+		Name:    t.Address.String(),
+		Limiter: limiter.DefaultConfig(t.Slots, t.Owners),
+		Client:  &client{pool: owned.pool, tracer: c.tracer, ended: owned.jobEnded},
+	})
+	c.running.Go(func() { owned.watch(ctx) })
+	c.log.Info("target owned", zap.String("target", t.Name), zap.Stringer("address", t.Address), zap.Int("allotment", t.Allotment))
+	return owned
+}
--- /dev/null
+++ b/relay/connector/target.go
@@ -0,0 +1,142 @@
+package connector
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"jackdawcart.org/core/dispatcher"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/pooler"
+)
+
+// ownedTarget watches one target; its goroutine owns the state.
+type ownedTarget struct {
+	connector *Connector
+	config    Target
+	pool      *pooler.Pool
+	stop      context.CancelFunc
+	// poll asks for a status call at once.
+	poll chan struct{}
+
+	state    *peerpb.TargetState
+	failures int
+	sequence uint64
+}
+
+// jobEnded asks for a status call when a job shows that the known state is old.
+func (o *ownedTarget) jobEnded(result dispatcher.Result) {
+	switch result.Failure {
+	case peerpb.FailureKind_FAILURE_SNAPSHOT_GONE, peerpb.FailureKind_FAILURE_DRAINING,
+		peerpb.FailureKind_FAILURE_UNREACHABLE, peerpb.FailureKind_FAILURE_LOST:
+		select {
+		case o.poll <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (o *ownedTarget) watch(ctx context.Context) {
+	o.warm(ctx)
+	ticks := o.connector.timers.Every(statusPeriod)
+	defer ticks.Stop()
+	for {
+		o.ask(ctx)
+		select {
+		case <-ticks.C:
+		case <-o.poll:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// warm opens connections before the first request needs them.
+func (o *ownedTarget) warm(ctx context.Context) {
+	for range min(warmConnections, o.config.Allotment) - 1 {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+			defer cancel()
+			// A target that does not answer yet is found by the watch.
+			_, _ = o.pool.Status(ctx)
+		}()
+	}
+}
+
+func (o *ownedTarget) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status, err := o.pool.Status(ctx)
+	if err != nil {
+		o.failures++
+		if o.failures >= lostAfter && ctx.Err() != context.Canceled {
+			o.publish(peerpb.TargetPhase_TARGET_PHASE_LOST, nil)
+		}
+		return
+	}
+	o.failures = 0
+	o.publish(phaseOf(status.State), status.Snapshots)
+}
+
+func phaseOf(state string) peerpb.TargetPhase {
+	switch state {
+	case "serving":
+		return peerpb.TargetPhase_TARGET_PHASE_SERVING
+	case "starting":
+		return peerpb.TargetPhase_TARGET_PHASE_STARTING
+	case "draining":
+		return peerpb.TargetPhase_TARGET_PHASE_DRAINING
+	default:
+		return peerpb.TargetPhase_TARGET_PHASE_UNKNOWN
+	}
+}
+
+// publish announces the state if it has changed. A lost target keeps its
+// snapshots, so that coverage is still stated against their shard maps.
+func (o *ownedTarget) publish(phase peerpb.TargetPhase, snapshots []pooler.Snapshot) {
+	next := &peerpb.TargetState{
+		Service:       o.config.Service,
+		Set:           o.config.Set,
+		Target:        o.config.Name,
+		Address:       o.config.Address.String(),
+		FailureDomain: o.config.FailureDomain,
+		Phase:         phase,
+		Slots:         uint32(o.config.Slots),
+		Snapshots:     convert(snapshots),
+		Relay:         o.connector.relay,
+		Incarnation:   o.connector.incarnation,
+	}
+	if snapshots == nil && o.state != nil {
+		next.Snapshots = o.state.Snapshots
+	}
+	if o.state != nil {
+		next.Sequence = o.state.Sequence
+		if proto.Equal(next, o.state) {
+			return
+		}
+	}
+	// The start time makes sequences grow over a change of the configuration,
+	// which replaces the watch.
+	o.sequence = max(o.sequence+1, uint64(time.Now().UnixNano()))
+	next.Sequence = o.sequence
+	if o.state == nil || o.state.Phase != phase {
+		o.connector.log.Info("target changed phase", zap.String("service", next.Service), zap.String("set", next.Set),
+			zap.String("target", next.Target), zap.Stringer("phase", phase))
+	}
+	o.state = next
+	o.connector.publisher.PutTarget(next)
+}
+
+func convert(snapshots []pooler.Snapshot) []*peerpb.Snapshot {
+	converted := make([]*peerpb.Snapshot, len(snapshots))
+	for i, s := range snapshots {
+		m := &peerpb.Snapshot{Id: s.ID, Sequence: s.Sequence, Held: s.Held}
+		for _, shard := range s.Shards {
+			m.Shards = append(m.Shards, &peerpb.Shard{Name: shard.Name, Weight: shard.Weight})
+		}
+		converted[i] = m
+	}
+	return converted
+}
--- /dev/null
+++ b/relay/forwarder/forwarder.go
@@ -0,0 +1,142 @@
+// Package forwarder runs the requests that gateways send to a relay and sends
+// their answers back.
+package forwarder
+
+import (
+	"context"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/dispatcher"
+	"jackdawcart.org/core/messenger"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/timer"
+)
+
+// Quarantine tells whether a request must not reach any target.
+type Quarantine interface {
+	Quarantined(fingerprint uint64) bool
+}
+
+// Forwarder serves the data streams of gateways.
+type Forwarder struct {
+	timers     *timer.Service
+	dispatcher *dispatcher.Dispatcher
+	quarantine Quarantine
+	maximum    int64
+	log        *zap.Logger
+	held       atomic.Int64
+	refusing   atomic.Bool
+}
+
+// New returns a forwarder that holds at most maximum sub-requests at once.
+func New(timers *timer.Service, d *dispatcher.Dispatcher, quarantine Quarantine, maximum int, log *zap.Logger) *Forwarder {
+	return &Forwarder{timers: timers, dispatcher: d, quarantine: quarantine, maximum: int64(maximum), log: log}
+}
+
+// Held returns the number of requests that have not been answered.
+func (f *Forwarder) Held() int64 { return f.held.Load() }
+
+// Refuse makes the forwarder answer new work as not run.
+func (f *Forwarder) Refuse() { f.refusing.Store(true) }
+
+// Serve handles the frames of one gateway, of which first has been read.
+func (f *Forwarder) Serve(_ context.Context, peer *peerpb.Hello, stream *messenger.Stream, first *peerpb.Frame) {
+	frame, err := first, error(nil)
+	for err == nil {
+		f.handle(stream, frame)
+		frame, err = stream.Receive()
+	}
+	f.log.Debug("data stream ended", zap.String("peer", peer.Node), zap.Error(err))
+}
+
+func (f *Forwarder) handle(stream *messenger.Stream, frame *peerpb.Frame) {
+	switch kind := frame.Kind.(type) {
+	case *peerpb.Frame_Batch:
+		f.batch(stream, kind.Batch)
+	case *peerpb.Frame_Cancel:
+		f.dispatcher.Cancel(kind.Cancel)
+	case *peerpb.Frame_Execute:
+		f.execute(stream, kind.Execute)
+	}
+}
+
+func (f *Forwarder) batch(stream *messenger.Stream, batch *peerpb.Batch) {
+	deadline := f.timers.Now().Add(batch.TimeLeft.AsDuration())
+	for _, sub := range batch.Subs {
+		f.submit(&dispatcher.Job{
+			QueryID:     batch.QueryId,
+			Sub:         sub.Sub,
+			Attempt:     sub.Attempt,
+			Service:     sub.Service,
+			Target:      sub.TargetAddress,
+			Shard:       sub.Shard,
+			Snapshot:    sub.Snapshot,
+			Text:        batch.Text,
+			Limit:       int(batch.Limit),
+			Deadline:    deadline,
+			Traceparent: batch.Traceparent,
+			Fingerprint: batch.Fingerprint,
+			Reply: func(result dispatcher.Result) {
+				f.held.Add(-1)
+				f.reply(stream, &peerpb.Frame{Kind: &peerpb.Frame_SubAnswer{SubAnswer: &peerpb.SubAnswer{
+					QueryId:  batch.QueryId,
+					Sub:      sub.Sub,
+					Attempt:  sub.Attempt,
+					Outcome:  result.Outcome,
+					Failure:  result.Failure,
+					Hits:     result.Hits,
+					Snapshot: result.Snapshot,
+					Shard:    result.Shard,
+					Load:     result.Load,
+				}}})
+			},
+		})
+	}
+}
+
+func (f *Forwarder) execute(stream *messenger.Stream, execute *peerpb.Execute) {
+	f.submit(&dispatcher.Job{
+		QueryID:     execute.RequestId,
+		Service:     execute.Service,
+		Target:      execute.TargetAddress,
+		Deadline:    f.timers.Now().Add(execute.TimeLeft.AsDuration()),
+		Traceparent: execute.Traceparent,
+		Fingerprint: execute.Fingerprint,
+		Execute:     execute,
+		Reply: func(result dispatcher.Result) {
+			f.held.Add(-1)
+			f.reply(stream, &peerpb.Frame{Kind: &peerpb.Frame_ExecuteAnswer{ExecuteAnswer: &peerpb.ExecuteAnswer{
+				RequestId: execute.RequestId,
+				Outcome:   result.Outcome,
+				Failure:   result.Failure,
+				Result:    result.Output,
+			}}})
+		},
+	})
+}
+
+func (f *Forwarder) submit(job *dispatcher.Job) {
+	held := f.held.Add(1)
+	switch {
+	case f.refusing.Load():
+		job.Reply(notRun(peerpb.FailureKind_FAILURE_NOT_OWNER))
+	case held > f.maximum:
+		job.Reply(notRun(peerpb.FailureKind_FAILURE_OVERLOADED))
+	case f.quarantine.Quarantined(job.Fingerprint):
+		job.Reply(notRun(peerpb.FailureKind_FAILURE_QUARANTINED))
+	default:
+		f.dispatcher.Submit(job)
+	}
+}
+
+func (f *Forwarder) reply(stream *messenger.Stream, frame *peerpb.Frame) {
+	if err := stream.Send(frame); err != nil {
+		f.log.Debug("answer dropped", zap.Error(err))
+	}
+}
+
+func notRun(kind peerpb.FailureKind) dispatcher.Result {
+	return dispatcher.Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: kind}
+}
