Add the stand-ins of the targets and of the platform

Both speak the published protocols and take faults at run time through a control address. Search results are a pure function in core/checker, so that a checker can compute the one right answer.

--- /dev/null
+++ b/platformstandin/server/vms.go
@@ -0,0 +1,108 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// VM is one machine of the platform's list.
+type VM struct {
+	Name          string         `json:"name"`
+	Address       netip.AddrPort `json:"address"`
+	FailureDomain string         `json:"failure-domain"`
+	// State is live or leaving.
+	State string `json:"state"`
+}
+
+// VMList is the list of live and leaving VMs.
+type VMList struct {
+	VMs []VM `json:"vms"`
+}
+
+// States of a VM.
+const (
+	vmLive    = "live"
+	vmLeaving = "leaving"
+)
+
+type vmVersion struct {
+	at   time.Time
+	list VMList
+}
+
+// vmHistory keeps earlier versions of the list, so that it can lag.
+type vmHistory struct {
+	lag      time.Duration
+	versions []vmVersion
+}
+
+// SetVMs replaces the VM list. Readers see it after the lag; the first list is
+// seen at once.
+func (s *Server) SetVMs(list VMList) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms.versions = append(s.vms.versions, vmVersion{time.Now(), list})
+}
+
+func (s *Server) listVMs(*http.Request) answer {
+	lag := time.Duration(0)
+	if f, ok := s.find(FaultVMLag); ok {
+		lag = time.Duration(f.Delay)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return answer{http.StatusOK, s.vms.visible(max(lag, s.vms.lag))}
+}
+
+func (h *vmHistory) visible(lag time.Duration) VMList {
+	limit := time.Now().Add(-lag)
+	for i := len(h.versions) - 1; i >= 0; i-- {
+		if i == 0 || !h.versions[i].at.After(limit) {
+			return h.versions[i].list
+		}
+	}
+	return VMList{VMs: []VM{}}
+}
+
+func (s *Server) setVMs(rw http.ResponseWriter, r *http.Request) {
+	list, err := decodeVMs(json.NewDecoder(http.MaxBytesReader(rw, r.Body, maxBody)))
+	if err != nil {
+		s.write(rw, fail(http.StatusBadRequest, "malformed", err.Error()))
+		return
+	}
+	s.SetVMs(list)
+	rw.WriteHeader(http.StatusNoContent)
+}
+
+func decodeVMs(decoder *json.Decoder) (VMList, error) {
+	var list VMList
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&list); err != nil {
+		return list, err
+	}
+	return list, list.validate()
+}
+
+func (l VMList) validate() error {
+	for _, vm := range l.VMs {
+		if vm.State != vmLive && vm.State != vmLeaving {
+			return fmt.Errorf("server: vms: %s: state %q is neither live nor leaving", vm.Name, vm.State)
+		}
+	}
+	return nil
+}
+
+// ParseVMs reads a VM list from JSON with comments.
+func ParseVMs(text []byte) (VMList, error) {
+	standard, err := hujson.Standardize(bytes.Clone(text))
+	if err != nil {
+		return VMList{}, fmt.Errorf("server: vms: %w", err)
+	}
+	return decodeVMs(json.NewDecoder(bytes.NewReader(standard)))
+}
--- /dev/null
+++ b/targetstandin/main.go
@@ -0,0 +1,19 @@
+// Program jackdawcart-target serves stand-in targets that fail on demand.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/targetstandin/simulator/target.go
@@ -0,0 +1,171 @@
+// Package simulator runs stand-in targets that speak the target protocol and
+// fail on demand.
+package simulator
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/checker"
+	"jackdawcart.org/core/container"
+	"jackdawcart.org/targetstandin/describer"
+)
+
+// Target is one running stand-in target.
+type Target struct {
+	description describer.Target
+	log         *zap.Logger
+	server      *http.Server
+
+	mu        sync.Mutex
+	closed    bool
+	down      bool
+	startedAt time.Time
+	listener  *listener
+	conns     container.Set[*conn]
+	thaw      chan struct{}
+	works     map[workKey]*work
+	queue     []*work
+	running   int
+	faults    []activeFault
+	snapshots []describer.Snapshot
+	maps      []checker.Map
+	runs      []checker.Run
+	refusals  map[string]int
+	random    *rand.Rand
+	previous  *searchAnswer
+	samples   []statusSample
+}
+
+// Start listens on the target's address and serves until Close.
+func Start(description describer.Target, log *zap.Logger) (*Target, error) {
+	t := &Target{
+		description: description,
+		log:         log.With(zap.String("target", description.Name)),
+		conns:       container.NewSet[*conn](),
+		works:       map[workKey]*work{},
+		refusals:    map[string]int{},
+		random:      rand.New(rand.NewPCG(description.Seed, uint64(len(description.Name)))),
+	}
+	t.server = &http.Server{
+		Handler:           t.handler(),
+		ConnContext:       withConn,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+	}
+	for _, s := range description.Snapshots {
+		t.publish(s)
+	}
+	if err := t.open(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+const readHeaderTimeout = time.Minute
+
+// Description returns what the target was started with. Its address is the
+// one that the target listens on.
+func (t *Target) Description() describer.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.description
+}
+
+// Close stops the target and breaks its connections.
+func (t *Target) Close() error {
+	t.mu.Lock()
+	t.closed = true
+	t.stopWork()
+	t.mu.Unlock()
+	return t.server.Close()
+}
+
+// open listens again on the target's address. The first call resolves port 0,
+// so that a restart keeps the port.
+func (t *Target) open() error {
+	raw, err := net.Listen("tcp", t.description.Address.String())
+	if err != nil {
+		return &Error{Op: "open", Kind: KindAddress, Err: err}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return raw.Close()
+	}
+	t.description.Address = raw.Addr().(*net.TCPAddr).AddrPort()
+	t.down = false
+	t.startedAt = time.Now()
+	t.listener = newListener(raw, t)
+	go t.serve(t.listener)
+	return nil
+}
+
+func (t *Target) serve(l *listener) {
+	err := t.server.Serve(l)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		t.log.Error("server stopped", zap.Error(err))
+	}
+}
+
+// Crash breaks every connection and all work, refuses connections for the
+// given time and then starts cold.
+func (t *Target) Crash(downtime time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.crash(downtime)
+}
+
+func (t *Target) crash(downtime time.Duration) {
+	if t.down || t.closed {
+		return
+	}
+	t.down = true
+	t.log.Info("target crashed", zap.Duration("downtime", downtime))
+	t.stopWork()
+	time.AfterFunc(downtime, t.reopen)
+}
+
+// stopWork breaks everything that the target has open.
+func (t *Target) stopWork() {
+	if t.listener != nil {
+		_ = t.listener.Close()
+	}
+	for c := range t.conns {
+		c.abort()
+	}
+	clear(t.conns)
+	for _, w := range t.works {
+		w.crash()
+	}
+	clear(t.works)
+	t.queue = nil
+}
+
+const reopenRetry = 50 * time.Millisecond
+
+func (t *Target) reopen() {
+	if err := t.open(); err != nil {
+		t.log.Warn("reopening failed; trying again", zap.Error(err))
+		time.AfterFunc(reopenRetry, t.reopen)
+	}
+}
+
+// Record returns everything that the target ran, and all its shard maps.
+func (t *Target) Record() checker.TargetRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	record := checker.TargetRecord{Refusals: map[string]int{}}
+	record.Runs = append(record.Runs, t.runs...)
+	record.Maps = append(record.Maps, t.maps...)
+	for code, count := range t.refusals {
+		record.Refusals[code] = count
+	}
+	return record
+}
