Serve a query end to end through separate processes

The first query after a start failed as unavailable because streams to relays were only opened on demand; they are now opened when a subscription reaches a relay.

--- a/core/callerapi/oas_json_gen.go
+++ b/core/callerapi/oas_json_gen.go
@@ -217,7 +217,7 @@
 func (s *ExecuteAnswer) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("request-id")
-		e.Str(s.RequestMinusID)
+		e.Str(s.RequestID)
 	}
 	{
 		e.FieldStart("result")
@@ -243,7 +243,7 @@
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
 				v, err := d.Str()
-				s.RequestMinusID = string(v)
+				s.RequestID = string(v)
 				if err != nil {
 					return err
 				}
@@ -335,9 +335,9 @@
 		}
 	}
 	{
-		if s.IdempotencyMinusKey.Set {
+		if s.IdempotencyKey.Set {
 			e.FieldStart("idempotency-key")
-			s.IdempotencyMinusKey.Encode(e)
+			s.IdempotencyKey.Encode(e)
 		}
 	}
 	{
@@ -390,8 +390,8 @@
 			}
 		case "idempotency-key":
 			if err := func() error {
-				s.IdempotencyMinusKey.Reset()
-				if err := s.IdempotencyMinusKey.Decode(d); err != nil {
+				s.IdempotencyKey.Reset()
+				if err := s.IdempotencyKey.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -880,12 +880,12 @@
 func (s *QueryAnswer) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("query-id")
-		e.Str(s.QueryMinusID)
+		e.Str(s.QueryID)
 	}
 	{
-		if s.RequestMinusID.Set {
+		if s.RequestID.Set {
 			e.FieldStart("request-id")
-			s.RequestMinusID.Encode(e)
+			s.RequestID.Encode(e)
 		}
 	}
 	{
@@ -936,7 +936,7 @@
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
 				v, err := d.Str()
-				s.QueryMinusID = string(v)
+				s.QueryID = string(v)
 				if err != nil {
 					return err
 				}
@@ -946,8 +946,8 @@
 			}
 		case "request-id":
 			if err := func() error {
-				s.RequestMinusID.Reset()
-				if err := s.RequestMinusID.Decode(d); err != nil {
+				s.RequestID.Reset()
+				if err := s.RequestID.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -1080,9 +1080,9 @@
 // encodeFields encodes fields.
 func (s *QueryRequest) encodeFields(e *jx.Encoder) {
 	{
-		if s.RequestMinusID.Set {
+		if s.RequestID.Set {
 			e.FieldStart("request-id")
-			s.RequestMinusID.Encode(e)
+			s.RequestID.Encode(e)
 		}
 	}
 	{
@@ -1138,8 +1138,8 @@
 		switch string(k) {
 		case "request-id":
 			if err := func() error {
-				s.RequestMinusID.Reset()
-				if err := s.RequestMinusID.Decode(d); err != nil {
+				s.RequestID.Reset()
+				if err := s.RequestID.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -1292,7 +1292,7 @@
 	{
 		e.FieldStart("missing-shards")
 		e.ArrStart()
-		for _, elem := range s.MissingMinusShards {
+		for _, elem := range s.MissingShards {
 			e.Str(elem)
 		}
 		e.ArrEnd()
@@ -1367,7 +1367,7 @@
 		case "missing-shards":
 			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
-				s.MissingMinusShards = make([]string, 0)
+				s.MissingShards = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
 					var elem string
 					v, err := d.Str()
@@ -1375,7 +1375,7 @@
 					if err != nil {
 						return err
 					}
-					s.MissingMinusShards = append(s.MissingMinusShards, elem)
+					s.MissingShards = append(s.MissingShards, elem)
 					return nil
 				}); err != nil {
 					return err
@@ -1455,7 +1455,7 @@
 	}
 	{
 		e.FieldStart("expires-in")
-		json.EncodeDuration(e, s.ExpiresMinusIn)
+		json.EncodeDuration(e, s.ExpiresIn)
 	}
 }
 
@@ -1489,7 +1489,7 @@
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := json.DecodeDuration(d)
-				s.ExpiresMinusIn = v
+				s.ExpiresIn = v
 				if err != nil {
 					return err
 				}
--- a/core/callerapi/oas_schemas_gen.go
+++ b/core/callerapi/oas_schemas_gen.go
@@ -217,13 +217,13 @@
 
 // Ref: #/components/schemas/ExecuteAnswer
 type ExecuteAnswer struct {
-	RequestMinusID string `json:"request-id"`
-	Result         string `json:"result"`
+	RequestID string `json:"request-id"`
+	Result    string `json:"result"`
 }
 
-// GetRequestMinusID returns the value of RequestMinusID.
-func (s *ExecuteAnswer) GetRequestMinusID() string {
-	return s.RequestMinusID
+// GetRequestID returns the value of RequestID.
+func (s *ExecuteAnswer) GetRequestID() string {
+	return s.RequestID
 }
 
 // GetResult returns the value of Result.
@@ -231,9 +231,9 @@
 	return s.Result
 }
 
-// SetRequestMinusID sets the value of RequestMinusID.
-func (s *ExecuteAnswer) SetRequestMinusID(val string) {
-	s.RequestMinusID = val
+// SetRequestID sets the value of RequestID.
+func (s *ExecuteAnswer) SetRequestID(val string) {
+	s.RequestID = val
 }
 
 // SetResult sets the value of Result.
@@ -243,12 +243,12 @@
 
 // Ref: #/components/schemas/ExecuteRequest
 type ExecuteRequest struct {
-	Ticket              OptString   `json:"ticket"`
-	IdempotencyMinusKey OptString   `json:"idempotency-key"`
-	Service             string      `json:"service"`
-	Operation           string      `json:"operation"`
-	Payload             string      `json:"payload"`
-	Deadline            OptDuration `json:"deadline"`
+	Ticket         OptString   `json:"ticket"`
+	IdempotencyKey OptString   `json:"idempotency-key"`
+	Service        string      `json:"service"`
+	Operation      string      `json:"operation"`
+	Payload        string      `json:"payload"`
+	Deadline       OptDuration `json:"deadline"`
 }
 
 // GetTicket returns the value of Ticket.
@@ -256,9 +256,9 @@
 	return s.Ticket
 }
 
-// GetIdempotencyMinusKey returns the value of IdempotencyMinusKey.
-func (s *ExecuteRequest) GetIdempotencyMinusKey() OptString {
-	return s.IdempotencyMinusKey
+// GetIdempotencyKey returns the value of IdempotencyKey.
+func (s *ExecuteRequest) GetIdempotencyKey() OptString {
+	return s.IdempotencyKey
 }
 
 // GetService returns the value of Service.
@@ -286,9 +286,9 @@
 	s.Ticket = val
 }
 
-// SetIdempotencyMinusKey sets the value of IdempotencyMinusKey.
-func (s *ExecuteRequest) SetIdempotencyMinusKey(val OptString) {
-	s.IdempotencyMinusKey = val
+// SetIdempotencyKey sets the value of IdempotencyKey.
+func (s *ExecuteRequest) SetIdempotencyKey(val OptString) {
+	s.IdempotencyKey = val
 }
 
 // SetService sets the value of Service.
@@ -644,8 +644,8 @@
 
 // Ref: #/components/schemas/QueryAnswer
 type QueryAnswer struct {
-	QueryMinusID   string    `json:"query-id"`
-	RequestMinusID OptString `json:"request-id"`
+	QueryID   string    `json:"query-id"`
+	RequestID OptString `json:"request-id"`
 	// True if every shard of every service answered.
 	Complete bool `json:"complete"`
 	// Weight of the shards that answered over the weight of all, 0 to 1.
@@ -654,14 +654,14 @@
 	Services []ServiceAnswer `json:"services"`
 }
 
-// GetQueryMinusID returns the value of QueryMinusID.
-func (s *QueryAnswer) GetQueryMinusID() string {
-	return s.QueryMinusID
+// GetQueryID returns the value of QueryID.
+func (s *QueryAnswer) GetQueryID() string {
+	return s.QueryID
 }
 
-// GetRequestMinusID returns the value of RequestMinusID.
-func (s *QueryAnswer) GetRequestMinusID() OptString {
-	return s.RequestMinusID
+// GetRequestID returns the value of RequestID.
+func (s *QueryAnswer) GetRequestID() OptString {
+	return s.RequestID
 }
 
 // GetComplete returns the value of Complete.
@@ -684,14 +684,14 @@
 	return s.Services
 }
 
-// SetQueryMinusID sets the value of QueryMinusID.
-func (s *QueryAnswer) SetQueryMinusID(val string) {
-	s.QueryMinusID = val
+// SetQueryID sets the value of QueryID.
+func (s *QueryAnswer) SetQueryID(val string) {
+	s.QueryID = val
 }
 
-// SetRequestMinusID sets the value of RequestMinusID.
-func (s *QueryAnswer) SetRequestMinusID(val OptString) {
-	s.RequestMinusID = val
+// SetRequestID sets the value of RequestID.
+func (s *QueryAnswer) SetRequestID(val OptString) {
+	s.RequestID = val
 }
 
 // SetComplete sets the value of Complete.
@@ -717,9 +717,9 @@
 // Ref: #/components/schemas/QueryRequest
 type QueryRequest struct {
 	// The caller's identity for this request, echoed in the answer.
-	RequestMinusID OptString `json:"request-id"`
-	Services       []string  `json:"services"`
-	Text           string    `json:"text"`
+	RequestID OptString `json:"request-id"`
+	Services  []string  `json:"services"`
+	Text      string    `json:"text"`
 	// The most hits to return.
 	Limit OptInt `json:"limit"`
 	// Time within which the caller wants its answer, at most the service's own.
@@ -727,9 +727,9 @@
 	Priority OptPriority `json:"priority"`
 }
 
-// GetRequestMinusID returns the value of RequestMinusID.
-func (s *QueryRequest) GetRequestMinusID() OptString {
-	return s.RequestMinusID
+// GetRequestID returns the value of RequestID.
+func (s *QueryRequest) GetRequestID() OptString {
+	return s.RequestID
 }
 
 // GetServices returns the value of Services.
@@ -757,9 +757,9 @@
 	return s.Priority
 }
 
-// SetRequestMinusID sets the value of RequestMinusID.
-func (s *QueryRequest) SetRequestMinusID(val OptString) {
-	s.RequestMinusID = val
+// SetRequestID sets the value of RequestID.
+func (s *QueryRequest) SetRequestID(val OptString) {
+	s.RequestID = val
 }
 
 // SetServices sets the value of Services.
@@ -793,9 +793,9 @@
 	// The target set that answered.
 	Set string `json:"set"`
 	// The one snapshot behind every hit of this service, empty if none was available.
-	Snapshot           string   `json:"snapshot"`
-	Coverage           float64  `json:"coverage"`
-	MissingMinusShards []string `json:"missing-shards"`
+	Snapshot      string   `json:"snapshot"`
+	Coverage      float64  `json:"coverage"`
+	MissingShards []string `json:"missing-shards"`
 }
 
 // GetService returns the value of Service.
@@ -818,9 +818,9 @@
 	return s.Coverage
 }
 
-// GetMissingMinusShards returns the value of MissingMinusShards.
-func (s *ServiceAnswer) GetMissingMinusShards() []string {
-	return s.MissingMinusShards
+// GetMissingShards returns the value of MissingShards.
+func (s *ServiceAnswer) GetMissingShards() []string {
+	return s.MissingShards
 }
 
 // SetService sets the value of Service.
@@ -843,15 +843,15 @@
 	s.Coverage = val
 }
 
-// SetMissingMinusShards sets the value of MissingMinusShards.
-func (s *ServiceAnswer) SetMissingMinusShards(val []string) {
-	s.MissingMinusShards = val
+// SetMissingShards sets the value of MissingShards.
+func (s *ServiceAnswer) SetMissingShards(val []string) {
+	s.MissingShards = val
 }
 
 // Ref: #/components/schemas/Ticket
 type Ticket struct {
-	Ticket         string        `json:"ticket"`
-	ExpiresMinusIn time.Duration `json:"expires-in"`
+	Ticket    string        `json:"ticket"`
+	ExpiresIn time.Duration `json:"expires-in"`
 }
 
 // GetTicket returns the value of Ticket.
@@ -859,9 +859,9 @@
 	return s.Ticket
 }
 
-// GetExpiresMinusIn returns the value of ExpiresMinusIn.
-func (s *Ticket) GetExpiresMinusIn() time.Duration {
-	return s.ExpiresMinusIn
+// GetExpiresIn returns the value of ExpiresIn.
+func (s *Ticket) GetExpiresIn() time.Duration {
+	return s.ExpiresIn
 }
 
 // SetTicket sets the value of Ticket.
@@ -869,7 +869,7 @@
 	s.Ticket = val
 }
 
-// SetExpiresMinusIn sets the value of ExpiresMinusIn.
-func (s *Ticket) SetExpiresMinusIn(val time.Duration) {
-	s.ExpiresMinusIn = val
+// SetExpiresIn sets the value of ExpiresIn.
+func (s *Ticket) SetExpiresIn(val time.Duration) {
+	s.ExpiresIn = val
 }
--- a/core/callerapi/oas_validators_gen.go
+++ b/core/callerapi/oas_validators_gen.go
@@ -142,7 +142,7 @@
 		})
 	}
 	if err := func() error {
-		if value, ok := s.IdempotencyMinusKey.Get(); ok {
+		if value, ok := s.IdempotencyKey.Get(); ok {
 			if err := func() error {
 				if err := (validate.String{
 					MinLength:     1,
@@ -381,7 +381,7 @@
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if value, ok := s.RequestMinusID.Get(); ok {
+		if value, ok := s.RequestID.Get(); ok {
 			if err := func() error {
 				if err := (validate.String{
 					MinLength:     0,
@@ -551,7 +551,7 @@
 		})
 	}
 	if err := func() error {
-		if s.MissingMinusShards == nil {
+		if s.MissingShards == nil {
 			return errors.New("nil is invalid value")
 		}
 		return nil
--- a/core/planner/table.go
+++ b/core/planner/table.go
@@ -64,7 +64,7 @@
 
 type setKey struct{ service, set string }
 
-// Service is a document in force.
+// Service is a document in force, or a deleted service without a document.
 type Service struct {
 	Document *parser.Document
 	Revision uint64
@@ -100,12 +100,22 @@
 // Service returns the document in force for a service.
 func (t *Table) Service(name string) (*Service, bool) {
 	s, ok := t.view.Load().documents[name]
-	return s, ok
+	if !ok || s.Document == nil {
+		return nil, false
+	}
+	return s, true
 }
 
 // Services returns the names of all services in force.
 func (t *Table) Services() []string {
-	return slices.Sorted(maps.Keys(t.view.Load().documents))
+	var names []string
+	for name, s := range t.view.Load().documents {
+		if s.Document != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
 }
 
 // Replicas returns the known replicas of a set. They must not be modified.
@@ -115,24 +125,24 @@
 
 // Put brings a document into force, unless a newer revision already is.
 func (t *Table) Put(doc *parser.Document, revision uint64, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	next := t.copyView()
-	if known, ok := next.documents[doc.Service]; ok && known.Revision >= revision {
-		return
-	}
-	next.documents[doc.Service] = &Service{Document: doc, Revision: revision}
-	t.rebuild(next, doc.Service, now)
-	t.view.Store(next)
+	t.put(doc.Service, &Service{Document: doc, Revision: revision}, now)
+}
+
+// Delete takes a service out of force. Its revision stays known, so that an
+// older document cannot bring the service back.
+func (t *Table) Delete(service string, revision uint64, now time.Time) {
+	t.put(service, &Service{Revision: revision}, now)
 }
 
-// Delete takes a service out of force.
-func (t *Table) Delete(service string, now time.Time) {
+func (t *Table) put(name string, entry *Service, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := t.copyView()
-	delete(next.documents, service)
-	t.rebuild(next, service, now)
+	if known, ok := next.documents[name]; ok && known.Revision >= entry.Revision {
+		return
+	}
+	next.documents[name] = entry
+	t.rebuild(next, name, now)
 	t.view.Store(next)
 }
 
@@ -211,7 +221,7 @@
 func (t *Table) rebuild(next *view, service string, now time.Time) {
 	maps.DeleteFunc(next.replicas, func(key setKey, _ []*Replica) bool { return key.service == service })
 	entry, ok := next.documents[service]
-	if !ok {
+	if !ok || entry.Document == nil {
 		return
 	}
 	for _, set := range entry.Document.Sets {
--- a/core/pooler/pool.go
+++ b/core/pooler/pool.go
@@ -24,11 +24,11 @@
 	// cancelGrace is how long a cancelled request may take to end before its
 	// connection is closed.
 	cancelGrace = 50 * time.Millisecond
-	// silentFactor and silentMin say when a connection without an answer is
+	// silentFactor and shortestSilence say when a connection without an answer is
 	// taken for silent, provided that others of the same target answer.
-	silentFactor = 10
-	silentMin    = 100 * time.Millisecond
-	idleTimeout  = 90 * time.Second
+	silentFactor    = 10
+	shortestSilence = 100 * time.Millisecond
+	idleTimeout     = 90 * time.Second
 	// executeConnections of the allotment are kept for requests that must not
 	// use a pooled connection.
 	executeConnections = 1
@@ -183,13 +183,18 @@
 	return &answer, nil
 }
 
+// finished is the end of a search that runs in its own goroutine.
+type finished struct {
+	err error
+}
+
 // guarded runs a search and watches for a connection that has gone silent.
 func (p *Pool) guarded(ctx context.Context, deadline time.Time, search *Search, answer *SearchAnswer) error {
 	request, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(cancelGrace))
 	defer cancel()
-	done := make(chan error, 1)
+	done := make(chan finished, 1)
 	go func() {
-		done <- p.post(request, p.pooled, "/v1/search", deadline, search.Traceparent, search, answer)
+		done <- finished{p.post(request, p.pooled, "/v1/search", deadline, search.Traceparent, search, answer)}
 	}()
 	started := time.Now()
 	before := p.answers.Load()
@@ -197,8 +202,8 @@
 	defer watch.Stop()
 	for {
 		select {
-		case err := <-done:
-			return err
+		case end := <-done:
+			return end.err
 		case <-ctx.Done():
 			return p.giveUp(cancel, done, search)
 		case <-watch.C:
@@ -218,7 +223,7 @@
 }
 
 // giveUp cancels a running search in the configured way.
-func (p *Pool) giveUp(cancel context.CancelFunc, done <-chan error, search *Search) error {
+func (p *Pool) giveUp(cancel context.CancelFunc, done <-chan finished, search *Search) error {
 	if p.config.Cancel == CancelByRequest {
 		go p.cancelRequest(search)
 		select {
@@ -339,5 +344,5 @@
 }
 
 func (p *Pool) silentAfter() time.Duration {
-	return max(silentFactor*time.Duration(p.latency.Load()), silentMin)
+	return max(silentFactor*time.Duration(p.latency.Load()), shortestSilence)
 }
--- a/core/scatterer/engine.go
+++ b/core/scatterer/engine.go
@@ -84,6 +84,9 @@
 // Stats counts the attempts of one query.
 type Stats struct {
 	Subs, Hedges, Retries, Restarts int
+	// Sent counts the attempts that reached a relay, Answered those of them
+	// whose answer counts.
+	Sent, Answered int
 }
 
 // ServiceAnswer is the part of one service.
@@ -105,10 +108,16 @@
 	late atomic.Int64
 
 	mu       sync.Mutex
-	live     map[string]*buffer.Ring[*peerpb.SubAnswer]
+	live     map[string]*buffer.Ring[event]
 	services map[string]*serviceState
 }
 
+// event is an answer, or the loss of a relay.
+type event struct {
+	answer    *peerpb.SubAnswer
+	lostRelay string
+}
+
 // serviceState holds the decisions of one service, shared by its queries.
 type serviceState struct {
 	mu       sync.Mutex
@@ -124,7 +133,7 @@
 		timers:    timers,
 		table:     table,
 		transport: transport,
-		live:      make(map[string]*buffer.Ring[*peerpb.SubAnswer]),
+		live:      make(map[string]*buffer.Ring[event]),
 		services:  make(map[string]*serviceState),
 	}
 }
@@ -135,11 +144,21 @@
 	e.mu.Lock()
 	inbox := e.live[answer.QueryId]
 	e.mu.Unlock()
-	if inbox == nil || !inbox.Put(answer) {
+	if inbox == nil || !inbox.Put(event{answer: answer}) {
 		e.late.Add(1)
 	}
 }
 
+// LostRelay fails what is in flight at a relay whose stream has ended.
+func (e *Engine) LostRelay(relay string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, inbox := range e.live {
+		// A query with a full inbox finds the loss by its hedges.
+		inbox.Put(event{lostRelay: relay})
+	}
+}
+
 // Late returns the number of answers that reached no query.
 func (e *Engine) Late() int64 { return e.late.Load() }
 
--- a/core/scatterer/query.go
+++ b/core/scatterer/query.go
@@ -27,7 +27,7 @@
 	id       string
 	request  *Request
 	deadline time.Time
-	inbox    *buffer.Ring[*peerpb.SubAnswer]
+	inbox    *buffer.Ring[event]
 	parts    []*part
 	subs     []*sub
 	open     int
@@ -83,7 +83,7 @@
 		q.parts = append(q.parts, p)
 		q.addSubs(p)
 	}
-	q.inbox = buffer.NewRing[*peerpb.SubAnswer](max(inboxMin, inboxPerSub*len(q.subs)))
+	q.inbox = buffer.NewRing[event](max(inboxMin, inboxPerSub*len(q.subs)))
 	return q
 }
 
@@ -116,8 +116,8 @@
 	defer wake.Stop()
 	for !q.finished() {
 		select {
-		case answer := <-q.inbox.C():
-			q.receive(answer)
+		case e := <-q.inbox.C():
+			q.handle(e)
 		case <-wake.C:
 			if !q.engine.timers.Now().Before(q.deadline) {
 				q.cancelAll()
@@ -205,6 +205,7 @@
 		next := make(map[string]*peerpb.Batch)
 		for relay, batch := range batches {
 			if q.engine.transport.Send(relay, batch) == nil {
+				q.stats.Sent += len(batch.Subs)
 				continue
 			}
 			for _, request := range batch.Subs {
@@ -290,4 +291,3 @@
 	s.ended = true
 	q.open--
 }
-
--- a/core/scatterer/receive.go
+++ b/core/scatterer/receive.go
@@ -8,6 +8,22 @@
 	"jackdawcart.org/core/selector"
 )
 
+func (q *query) handle(e event) {
+	if e.answer != nil {
+		q.receive(e.answer)
+		return
+	}
+	batches := make(map[string]*peerpb.Batch)
+	for _, s := range q.subs {
+		for _, a := range s.attempts {
+			if !a.done && a.relay == e.lostRelay {
+				q.fail(s, a.number, peerpb.FailureKind_FAILURE_LOST, batches)
+			}
+		}
+	}
+	q.send(batches)
+}
+
 // receive takes an answer of a sub-request. Only an answer that matches the
 // sub-request, the attempt, the shard and the pinned snapshot counts.
 func (q *query) receive(answer *peerpb.SubAnswer) {
@@ -50,6 +66,7 @@
 		return
 	}
 	s.answered = true
+	q.stats.Answered++
 	s.hits = hitsOf(a.replica.Service, answer.Hits)
 	q.end(s)
 	q.cancelAttempts(s)
--- /dev/null
+++ b/gateway/responder/error.go
@@ -0,0 +1,80 @@
+package responder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"jackdawcart.org/core/callerapi"
+)
+
+// Error is the error type of this package. Its kind is the stable code that
+// callers see.
+type Error struct {
+	Op      string
+	Kind    callerapi.ErrorCode
+	Outcome callerapi.Outcome
+	Message string
+}
+
+// Error returns the message, prefixed with its origin.
+func (e *Error) Error() string {
+	return fmt.Sprintf("responder: %s: %s: %s", e.Op, e.Kind, e.Message)
+}
+
+func notRun(op string, kind callerapi.ErrorCode, message string) *Error {
+	return &Error{Op: op, Kind: kind, Outcome: callerapi.OutcomeNotRun, Message: message}
+}
+
+// statuses gives the HTTP status of each code.
+var statuses = map[callerapi.ErrorCode]int{
+	callerapi.ErrorCodeMalformed:        http.StatusBadRequest,
+	callerapi.ErrorCodeTooLarge:         http.StatusRequestEntityTooLarge,
+	callerapi.ErrorCodeUnknownService:   http.StatusNotFound,
+	callerapi.ErrorCodeDeadlineTooLate:  http.StatusBadRequest,
+	callerapi.ErrorCodeOverloaded:       http.StatusTooManyRequests,
+	callerapi.ErrorCodeNotReady:         http.StatusServiceUnavailable,
+	callerapi.ErrorCodeShuttingDown:     http.StatusServiceUnavailable,
+	callerapi.ErrorCodeQuarantined:      http.StatusUnprocessableEntity,
+	callerapi.ErrorCodeUnavailable:      http.StatusServiceUnavailable,
+	callerapi.ErrorCodeCoverageTooLow:   http.StatusServiceUnavailable,
+	callerapi.ErrorCodeTicketInvalid:    http.StatusForbidden,
+	callerapi.ErrorCodeTicketExpired:    http.StatusGone,
+	callerapi.ErrorCodeStoreUnreachable: http.StatusServiceUnavailable,
+	callerapi.ErrorCodeOutcomeUnknown:   http.StatusBadGateway,
+	callerapi.ErrorCodeFailed:           http.StatusBadGateway,
+	callerapi.ErrorCodeInternal:         http.StatusInternalServerError,
+}
+
+// NewError turns an error of a handler into the answer that the caller gets.
+func (r *Responder) NewError(_ context.Context, err error) *callerapi.ErrorStatusCode {
+	var failure *Error
+	if !errors.As(err, &failure) {
+		failure = requestError(err)
+	}
+	r.errors.Counter(string(failure.Kind)).Inc(1)
+	return &callerapi.ErrorStatusCode{
+		StatusCode: statuses[failure.Kind],
+		Response:   callerapi.Error{Code: failure.Kind, Message: failure.Message, Outcome: failure.Outcome},
+	}
+}
+
+// requestError classifies what ogen found wrong with a request, before any
+// handler ran.
+func requestError(err error) *Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return notRun("decode", callerapi.ErrorCodeTooLarge, "the request is larger than this gateway accepts")
+	}
+	var decode ogenerrors.Error
+	if errors.As(err, &decode) && decode.Code() < http.StatusInternalServerError {
+		return notRun("decode", callerapi.ErrorCodeMalformed, err.Error())
+	}
+	return &Error{
+		Op: "handle", Kind: callerapi.ErrorCodeInternal,
+		Outcome: callerapi.OutcomeUnknown, Message: "internal error",
+	}
+}
--- /dev/null
+++ b/gateway/responder/responder.go
@@ -0,0 +1,85 @@
+// Package responder answers the callers' HTTP requests.
+package responder
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/admitter"
+	"jackdawcart.org/core/meter"
+	"jackdawcart.org/core/planner"
+	"jackdawcart.org/core/scatterer"
+	"jackdawcart.org/core/timer"
+	"jackdawcart.org/core/tracer"
+)
+
+// Control is what the gateway knows from its relays.
+type Control interface {
+	Ready() bool
+	Quarantined(fingerprint uint64) bool
+}
+
+// Config joins the parts that a responder uses.
+type Config struct {
+	Timers  *timer.Service
+	Table   *planner.Table
+	Engine  *scatterer.Engine
+	Control Control
+	Tracer  *tracer.Tracer
+	Metrics tally.Scope
+	Log     *zap.Logger
+	// MaxQueries bounds the queries that run at once.
+	MaxQueries int
+}
+
+// Responder handles the operations of the callers' interface.
+type Responder struct {
+	config   Config
+	errors   tally.Scope
+	latency  tally.Histogram
+	stopping atomic.Bool
+	live     atomic.Int64
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	admitter *admitter.State
+}
+
+// New returns a responder.
+func New(config Config) *Responder {
+	limits := admitter.DefaultConfig()
+	limits.MaxQueries = config.MaxQueries
+	return &Responder{
+		config:   config,
+		errors:   config.Metrics.SubScope("refusals"),
+		latency:  config.Metrics.Histogram("query_latency", meter.LatencyBuckets),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		admitter: admitter.New(limits),
+	}
+}
+
+// Stop makes the responder refuse new requests as not run.
+func (r *Responder) Stop() { r.stopping.Store(true) }
+
+// Stopping reports whether new requests are refused.
+func (r *Responder) Stopping() bool { return r.stopping.Load() }
+
+// Live returns the number of requests that have not been answered.
+func (r *Responder) Live() int64 { return r.live.Load() }
+
+func (r *Responder) admit(now time.Time, priority admitter.Priority) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.admitter.Admit(now, r.rng, priority)
+}
+
+func (r *Responder) done(now time.Time, priority admitter.Priority, served bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admitter.Done(now, priority, served)
+}
--- /dev/null
+++ b/gateway/runner/run.go
@@ -0,0 +1,152 @@
+// Package runner assembles and runs a gateway process.
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/administrator"
+	"jackdawcart.org/core/callerapi"
+	"jackdawcart.org/core/loader"
+	"jackdawcart.org/core/logger"
+	"jackdawcart.org/core/messenger"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/meter"
+	"jackdawcart.org/core/planner"
+	"jackdawcart.org/core/scatterer"
+	"jackdawcart.org/core/timer"
+	"jackdawcart.org/core/tracer"
+	"jackdawcart.org/gateway/courier"
+	"jackdawcart.org/gateway/responder"
+	"jackdawcart.org/gateway/subscriber"
+)
+
+const process = "gateway"
+
+// maxHeaderBytes bounds the headers of a caller's request.
+const maxHeaderBytes = 16 << 10
+
+// Run runs a gateway until the context ends, then stops it gracefully.
+func Run(ctx context.Context, settings *loader.Settings, version string) error {
+	log := logger.New(settings.LogLevel, process, settings.Node)
+	keys, err := loader.NewKeySource(settings.KeyFile)
+	if err != nil {
+		return err
+	}
+	spans, err := tracer.New(ctx, settings.TraceEndpoint, settings.TraceShare, process, settings.Node)
+	if err != nil {
+		return err
+	}
+	hello := &peerpb.Hello{
+		Node: settings.Node, Incarnation: uint64(time.Now().UnixNano()), FailureDomain: settings.FailureDomain,
+		Role: peerpb.Role_ROLE_GATEWAY, Protocol: messenger.ProtocolVersion,
+		SessionAddress: settings.SessionAddress.String(), CallerAddress: settings.CallerAddress.String(), Version: version,
+	}
+	timers := timer.NewService()
+	metrics := meter.New(process, settings.Node)
+	peers := messenger.NewPeers(keys, hello)
+	table := planner.NewTable()
+	subscribe := subscriber.New(peers, table, timers, log)
+	carry := courier.New(peers, subscribe, log)
+	engine := scatterer.New(scatterer.DefaultConfig(settings.FailureDomain), timers, table, carry)
+	carry.SetReceiver(receiver{engine})
+	subscribe.OnRelay(carry.Warm)
+	respond := responder.New(responder.Config{
+		Timers: timers, Table: table, Engine: engine, Control: subscribe, Tracer: spans,
+		Metrics: metrics.Scope, Log: log, MaxQueries: settings.MaxQueries,
+	})
+	admin := administrator.New(func() (bool, string) { return ready(subscribe, respond) }, metrics.Handler)
+	if err := admin.Listen(ctx, settings.AdminAddress); err != nil {
+		return err
+	}
+	server, err := serveCallers(ctx, settings, respond, log)
+	if err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	for _, addr := range relayAddresses(settings) {
+		go subscribe.Follow(work, addr)
+	}
+	log.Info("gateway started", zap.String("version", version), zap.Stringer("address", settings.CallerAddress))
+	<-ctx.Done()
+	drain(settings, respond, server, log)
+	carry.Close()
+	peers.Close()
+	log.Info("gateway stopped")
+	return errors.Join(admin.Close(), metrics.Close(), spans.Shutdown(context.WithoutCancel(ctx)))
+}
+
+func relayAddresses(settings *loader.Settings) []netip.AddrPort {
+	addresses := settings.Relays
+	for _, n := range settings.Neighbours {
+		addresses = append(addresses, n.Relays...)
+	}
+	return addresses
+}
+
+func ready(subscribe *subscriber.Subscriber, respond *responder.Responder) (bool, string) {
+	switch {
+	case respond.Stopping():
+		return false, "stopping"
+	case !subscribe.Ready():
+		return false, "no configuration in force"
+	default:
+		return true, ""
+	}
+}
+
+func serveCallers(ctx context.Context, settings *loader.Settings, respond *responder.Responder, log *zap.Logger) (*http.Server, error) {
+	api, err := callerapi.NewServer(respond)
+	if err != nil {
+		return nil, err
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", settings.CallerAddress.String())
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler:           http.MaxBytesHandler(api, int64(settings.MaxBodyBytes)),
+		ReadHeaderTimeout: settings.HeaderTimeout,
+		ReadTimeout:       settings.ReadTimeout,
+		IdleTimeout:       settings.IdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	go server.Serve(listener) //nolint:errcheck // Serve ends with the error of Shutdown.
+	return server, nil
+}
+
+// drain lets the balancer see that this gateway leaves, then ends every
+// request in flight.
+func drain(settings *loader.Settings, respond *responder.Responder, server *http.Server, log *zap.Logger) {
+	log.Info("gateway drains", zap.Int64("live", respond.Live()))
+	time.Sleep(settings.LeaveTime)
+	ctx, cancel := context.WithTimeout(context.Background(), settings.DrainTime)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		log.Warn("requests were still in flight", zap.Int64("live", respond.Live()), zap.Error(err))
+	}
+	respond.Stop()
+}
+
+// receiver hands the answers of relays to the engine.
+type receiver struct {
+	engine *scatterer.Engine
+}
+
+// Deliver hands on the answer of a sub-request.
+func (r receiver) Deliver(answer *peerpb.SubAnswer) { r.engine.Deliver(answer) }
+
+// DeliverExecute hands on the answer of a non-idempotent request.
+func (r receiver) DeliverExecute(*peerpb.ExecuteAnswer) {}
+
+// Lost fails what was in flight at a relay.
+func (r receiver) Lost(relay string) { r.engine.LostRelay(relay) }
--- /dev/null
+++ b/gateway/subscriber/subscriber.go
@@ -0,0 +1,225 @@
+// Package subscriber follows the control state that relays publish:
+// configuration, members, targets and quarantine.
+package subscriber
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/messenger"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/parser"
+	"jackdawcart.org/core/planner"
+	"jackdawcart.org/core/timer"
+)
+
+// retryDelay spaces attempts to subscribe to a relay.
+const retryDelay = 300 * time.Millisecond
+
+// Sessions opens sessions to relays.
+type Sessions interface {
+	Session(ctx context.Context, addr netip.AddrPort) (*messenger.Session, error)
+}
+
+// Subscriber keeps subscriptions to relays and the state that they give.
+type Subscriber struct {
+	sessions Sessions
+	table    *planner.Table
+	timers   *timer.Service
+	log      *zap.Logger
+	// found is called with each relay that a subscription has reached.
+	found func(relay string)
+
+	ready atomic.Bool
+
+	mu         sync.Mutex
+	members    map[string]*peerpb.Member
+	quarantine map[uint64]time.Time
+	revision   uint64
+	confirmed  time.Time
+	leaving    map[string]struct{}
+}
+
+// New returns a subscriber that fills the table. OnRelay may follow before
+// the first call of Follow.
+func New(sessions Sessions, table *planner.Table, timers *timer.Service, log *zap.Logger) *Subscriber {
+	return &Subscriber{
+		sessions: sessions, table: table, timers: timers, log: log,
+		members:    make(map[string]*peerpb.Member),
+		quarantine: make(map[uint64]time.Time),
+		leaving:    make(map[string]struct{}),
+		found:      func(string) {},
+	}
+}
+
+// OnRelay sets what is called with each relay that a subscription has reached.
+func (s *Subscriber) OnRelay(found func(relay string)) { s.found = found }
+
+// Ready reports whether a configuration is in force.
+func (s *Subscriber) Ready() bool { return s.ready.Load() }
+
+// Follow keeps a subscription to the relay at addr until the context ends.
+func (s *Subscriber) Follow(ctx context.Context, addr netip.AddrPort) {
+	for ctx.Err() == nil {
+		if err := s.follow(ctx, addr); err != nil && ctx.Err() == nil {
+			s.log.Debug("subscription ended", zap.Stringer("relay", addr), zap.Error(err))
+		}
+		select {
+		case <-time.After(retryDelay):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Subscriber) follow(ctx context.Context, addr netip.AddrPort) error {
+	session, err := s.sessions.Session(ctx, addr)
+	if err != nil {
+		return err
+	}
+	stream, err := session.Open()
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	defer stop()
+	defer s.table.ForgetRelay(session.Peer().Node, s.timers.Now())
+	s.heardOf(session.Peer(), addr)
+	s.found(session.Peer().Node)
+	err = stream.Send(&peerpb.Frame{Kind: &peerpb.Frame_Subscribe{Subscribe: &peerpb.Subscribe{
+		Configuration: true, Targets: true, Members: true, Quarantine: true,
+	}}})
+	if err != nil {
+		return err
+	}
+	for {
+		frame, err := stream.Receive()
+		if err != nil {
+			return err
+		}
+		s.apply(frame)
+	}
+}
+
+func (s *Subscriber) apply(frame *peerpb.Frame) {
+	switch kind := frame.Kind.(type) {
+	case *peerpb.Frame_ConfigUpdate:
+		s.applyConfig(kind.ConfigUpdate)
+	case *peerpb.Frame_TargetUpdate:
+		s.table.Apply(kind.TargetUpdate.Targets, s.timers.Now())
+	case *peerpb.Frame_MembersUpdate:
+		s.applyMembers(kind.MembersUpdate)
+	case *peerpb.Frame_QuarantineUpdate:
+		s.applyQuarantine(kind.QuarantineUpdate)
+	}
+}
+
+func (s *Subscriber) applyConfig(update *peerpb.ConfigUpdate) {
+	now := s.timers.Now()
+	for _, d := range update.Documents {
+		if d.Deleted {
+			s.table.Delete(d.Service, d.Revision, now)
+			continue
+		}
+		doc, err := parser.Parse(d.Body)
+		if err != nil {
+			s.log.Error("document cannot be used", zap.String("service", d.Service), zap.Error(err))
+			continue
+		}
+		s.table.Put(doc, d.Revision, now)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = max(s.revision, update.StoreRevision)
+	if confirmed := now.Add(-update.Age.AsDuration()); update.Age != nil && confirmed.After(s.confirmed) {
+		s.confirmed = confirmed
+	}
+	if s.revision > 0 && update.Complete {
+		s.ready.Store(true)
+	}
+}
+
+// Configuration returns the store revision in force and when the store last
+// confirmed it.
+func (s *Subscriber) Configuration() (revision uint64, confirmed time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, s.confirmed
+}
+
+func (s *Subscriber) applyMembers(update *peerpb.MembersUpdate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range update.Members {
+		known, ok := s.members[m.Node]
+		if ok && known.Incarnation > m.Incarnation {
+			continue
+		}
+		s.members[m.Node] = m
+	}
+}
+
+// heardOf notes the address of a relay before any members list names it.
+func (s *Subscriber) heardOf(peer *peerpb.Hello, addr netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known, ok := s.members[peer.Node]; ok && known.Incarnation >= peer.Incarnation {
+		return
+	}
+	s.members[peer.Node] = &peerpb.Member{
+		Node: peer.Node, FailureDomain: peer.FailureDomain, RelayAddress: addr.String(),
+		Incarnation: peer.Incarnation, State: peerpb.MemberState_MEMBER_STATE_ALIVE,
+	}
+}
+
+// RelayAddress returns where a relay accepts sessions.
+func (s *Subscriber) RelayAddress(node string) (netip.AddrPort, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[node]
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	addr, err := netip.ParseAddrPort(m.RelayAddress)
+	return addr, err == nil
+}
+
+// Members returns what is known of the nodes.
+func (s *Subscriber) Members() []*peerpb.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*peerpb.Member, 0, len(s.members))
+	for _, m := range s.members {
+		list = append(list, m)
+	}
+	return list
+}
+
+func (s *Subscriber) applyQuarantine(update *peerpb.QuarantineUpdate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.timers.Now()
+	for _, e := range update.Entries {
+		s.quarantine[e.Fingerprint] = now.Add(e.Remaining.AsDuration())
+	}
+}
+
+// Quarantined reports whether a request must not reach any target.
+func (s *Subscriber) Quarantined(fingerprint uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.quarantine[fingerprint]
+	if !ok {
+		return false
+	}
+	if s.timers.Now().After(until) {
+		delete(s.quarantine, fingerprint)
+		return false
+	}
+	return true
+}
