--- /dev/null
+++ b/core/ticketer/table_test.go
@@ -0,0 +1,225 @@
+package ticketer_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"jackdawcart.org/core/container"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/ticketer"
+)
+
+var config = ticketer.Config{
+	Node: "gw-1", Incarnation: 1, Lifetime: 10 * time.Second, Retention: 10 * time.Second,
+	MaxTickets: 5, MaxPerCaller: 3, MaxResultBytes: 8,
+}
+
+func issue(t *testing.T, table *ticketer.Table, now time.Time, caller string) ticketer.Ticket {
+	t.Helper()
+	text, err := table.Issue(now, caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ticket, err := table.Verify(text, caller)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ticket
+}
+
+// Memory must stay bounded whatever callers ask for and however long requests
+// run, and a result without room must not be passed off as an empty one.
+func TestTableBounds(t *testing.T) {
+	now := time.Now()
+	table := ticketer.NewTable(now, config, keyring(t, "key"))
+	full := &ticketer.Error{Kind: ticketer.KindFull}
+	var tickets []ticketer.Ticket
+	for _, caller := range []string{"a", "a", "a", "b", "b"} {
+		tickets = append(tickets, issue(t, table, now, caller))
+	}
+	if _, err := table.Issue(now, "c"); !errors.Is(err, full) {
+		t.Errorf("ticket beyond the maximum: got %v, want %v", err, full)
+	}
+	end := func(ticket ticketer.Ticket, result string) bool {
+		table.Begin(now, ticket, ticketer.Fingerprint{})
+		table.Finish(now, ticket.ID, peerpb.Outcome_OUTCOME_RAN, []byte(result))
+		return table.Begin(now, ticket, ticketer.Fingerprint{}).Answer.ResultDropped
+	}
+	dropped := []bool{end(tickets[0], "nine byte"), end(tickets[1], "five."), end(tickets[2], "five.")}
+	if diff := cmp.Diff([]bool{true, false, true}, dropped); diff != "" {
+		t.Errorf("dropped results differ (-want +got):\n%s", diff)
+	}
+	table.Begin(now, tickets[3], ticketer.Fingerprint{})
+	now = now.Add(time.Minute)
+	if table.Expire(now); table.Len() != 1 {
+		t.Errorf("got %d tickets after expiry, want the running one", table.Len())
+	}
+	if got := table.Begin(now, tickets[0], ticketer.Fingerprint{}).Verdict; got != ticketer.VerdictUnknown {
+		t.Errorf("forgotten ticket: got %s, want unknown", got)
+	}
+	if end(issue(t, table, now, "a"), "eight...") {
+		t.Error("the room of forgotten results was not given back")
+	}
+	issue(t, table, now, "a")
+	issue(t, table, now, "a")
+	if _, err := table.Issue(now, "a"); !errors.Is(err, full) {
+		t.Errorf("ticket beyond the caller's maximum: got %v, want %v", err, full)
+	}
+}
+
+// A ticket refused as expired must stay refused for a goroutine that read the
+// clock earlier, or the refusal turns out false.
+func TestExpiredTicketStaysClosed(t *testing.T) {
+	now := time.Now()
+	table := ticketer.NewTable(now, config, keyring(t, "key"))
+	ticket := issue(t, table, now, "a")
+	for _, at := range []time.Time{now.Add(config.Lifetime), now} {
+		if got := table.Begin(at, ticket, ticketer.Fingerprint{}).Verdict; got != ticketer.VerdictRefused {
+			t.Errorf("got %s, want refused", got)
+		}
+	}
+}
+
+// A repeated hand-over must neither change an answer nor use more memory, and
+// the next stop must pass the answer on.
+func TestAdoptKeepsFirstAnswer(t *testing.T) {
+	now := time.Now()
+	table := ticketer.NewTable(now, config, keyring(t, "key"))
+	first := ticketer.Handed{
+		Node: "gw-2", Incarnation: 4, ID: 5, Remaining: time.Second,
+		Answer: ticketer.Answer{Outcome: peerpb.Outcome_OUTCOME_RAN, Result: []byte("a")},
+	}
+	second := first
+	second.Answer.Result = []byte("b")
+	table.Adopt(now, []ticketer.Handed{first, second})
+	if diff := cmp.Diff([]ticketer.Handed{first}, table.Fence(now)); diff != "" {
+		t.Errorf("answers differ (-want +got):\n%s", diff)
+	}
+	if table.Expire(now.Add(time.Second)); table.Len() != 0 {
+		t.Error("an adopted answer outlives its time")
+	}
+}
+
+// A gateway that forwards to itself or runs a dead incarnation's ticket would
+// loop or run it twice.
+func TestRoute(t *testing.T) {
+	now := time.Now()
+	ticket := ticketer.Ticket{Node: "gw-1", Incarnation: 1, ID: 5}
+	issuer := ticketer.NewTable(now, config, keyring(t, "key"))
+	restarted, peer := config, config
+	restarted.Incarnation, peer.Node = 2, "gw-2"
+	second := ticketer.NewTable(now, restarted, keyring(t, "key"))
+	other := ticketer.NewTable(now, peer, keyring(t, "key"))
+	got := []ticketer.Route{
+		issuer.Route(ticket, container.Some(uint64(1))),
+		second.Route(ticket, container.Some(uint64(1))),
+		other.Route(ticket, container.Some(uint64(0))),
+		other.Route(ticket, container.Some(uint64(1))),
+		other.Route(ticket, container.Some(uint64(2))),
+		other.Route(ticket, container.None[uint64]()),
+	}
+	other.Adopt(now, []ticketer.Handed{{Node: "gw-1", Incarnation: 1, ID: 5, Remaining: time.Second}})
+	got = append(got, other.Route(ticket, container.None[uint64]()))
+	want := []ticketer.Route{"here", "gone", "forward", "forward", "gone", "gone", "here"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("routes differ (-want +got):\n%s", diff)
+	}
+	successor, _ := ticketer.Successor("gw-1", 1, []string{"gw-1", "gw-2"}).Get()
+	if successor != "gw-2" {
+		t.Errorf("got successor %q, want the other live gateway", successor)
+	}
+}
+
+type use struct {
+	ticket  ticketer.Ticket
+	request ticketer.Fingerprint
+}
+
+// The steps are those of models/ticket.pml. It guards against a second run, a
+// refusal that turns out false, and an answer that changes.
+func TestTicketStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keys, _ := ticketer.NewKeyring([]byte("key"))
+		now, current := time.Now(), config
+		issuer := ticketer.NewTable(now, current, keys)
+		peerConfig := config
+		peerConfig.Node = "gw-2"
+		peer := ticketer.NewTable(now, peerConfig, keys)
+		var tickets []ticketer.Ticket
+		var handed []ticketer.Handed
+		ran, refused := map[ticketer.Ticket]use{}, map[use]bool{}
+		answers, live := map[ticketer.Ticket]string{}, map[uint64]ticketer.Ticket{}
+		expires, fenced := map[ticketer.Ticket]time.Time{}, false
+		begin := func(t *rapid.T, table *ticketer.Table, at time.Time) {
+			if len(tickets) == 0 {
+				t.Skip("no ticket yet")
+			}
+			u := use{rapid.SampledFrom(tickets).Draw(t, "ticket"), ticketer.Fingerprint{rapid.Byte().Draw(t, "request") % 2}}
+			d := table.Begin(at, u.ticket, u.request)
+			first, hasRun := ran[u.ticket]
+			switch d.Verdict {
+			case ticketer.VerdictRun:
+				if hasRun || refused[u] || table != issuer {
+					t.Fatalf("ticket %d runs: ran before %v, refused before %v", u.ticket.ID, hasRun, refused[u])
+				}
+				if fenced || !at.Before(expires[u.ticket]) {
+					t.Fatalf("ticket %d runs after the fence or its expiry", u.ticket.ID)
+				}
+				ran[u.ticket], live[u.ticket.ID] = u, u.ticket
+			case ticketer.VerdictRefused:
+				if hasRun && first == u {
+					t.Fatalf("ticket %d is refused as not run after its run", u.ticket.ID)
+				}
+				refused[u] = true
+			case ticketer.VerdictWait:
+				if _, ok := live[u.ticket.ID]; !ok || first != u {
+					t.Fatalf("ticket %d waits for a run that is not there", u.ticket.ID)
+				}
+			case ticketer.VerdictKnown:
+				if first != u || string(d.Answer.Result) != answers[u.ticket] && !d.Answer.ResultDropped {
+					t.Fatalf("ticket %d has answer %q, want %q", u.ticket.ID, d.Answer.Result, answers[u.ticket])
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"issue": func(t *rapid.T) {
+				if text, err := issuer.Issue(now, "a"); err == nil {
+					ticket, _ := issuer.Verify(text, "a")
+					tickets = append(tickets, ticket)
+					expires[ticket] = now.Add(config.Lifetime)
+				}
+			},
+			"begin":         func(t *rapid.T) { begin(t, issuer, now) },
+			"begin delayed": func(t *rapid.T) { begin(t, issuer, now.Add(-5*time.Second)) },
+			"begin at peer": func(t *rapid.T) { begin(t, peer, now) },
+			"finish": func(t *rapid.T) {
+				id := rapid.Uint64Range(0, 5).Draw(t, "id")
+				ticket, running := live[id]
+				result := rapid.StringN(0, 4, 4).Draw(t, "result")
+				if issuer.Finish(now, id, peerpb.Outcome_OUTCOME_RAN, []byte(result)) != running {
+					t.Fatalf("Finish(%d) did not report %v", id, running)
+				}
+				if running {
+					answers[ticket] = result
+					delete(live, id)
+				}
+			},
+			"fence": func(*rapid.T) {
+				handed = append(handed, issuer.Fence(now)...)
+				fenced = true
+			},
+			"hand over": func(*rapid.T) { peer.Adopt(now, handed) },
+			"advance":   func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 12).Draw(t, "s")) * time.Second) },
+			"restart": func(*rapid.T) {
+				current.Incarnation++
+				issuer = ticketer.NewTable(now, current, keys)
+				clear(live)
+				fenced = false
+			},
+		})
+	})
+}
--- /dev/null
+++ b/core/ticketer/ticket.go
@@ -0,0 +1,117 @@
+package ticketer
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"strings"
+	"time"
+	"unicode/utf8"
+)
+
+// MaxLength is the largest length of an encoded ticket, as in the caller
+// interface.
+const MaxLength = 1024
+
+// formatVersion starts every ticket and is covered by its tag.
+const formatVersion = "t1"
+
+var encoding = base64.RawURLEncoding.Strict()
+
+// Ticket lets one request of one caller run at most once.
+type Ticket struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	ID          uint64 `json:"id"`
+	// Expires is the end of the ticket's life, counted from the start of the
+	// issuing table on its monotonic clock. Only the issuer can compare it.
+	Expires time.Duration `json:"expires"`
+	Caller  string        `json:"caller"`
+}
+
+// Fingerprint identifies the request that a ticket is used with.
+type Fingerprint [sha256.Size]byte
+
+// FingerprintOf returns the fingerprint of a non-idempotent request.
+func FingerprintOf(service, operation string, payload []byte) Fingerprint {
+	h := sha256.New()
+	var length [8]byte
+	for _, part := range [][]byte{[]byte(service), []byte(operation), payload} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write(part)
+	}
+	return Fingerprint(h.Sum(nil))
+}
+
+// Encode returns the ticket as a string with its tag.
+func (r *Keyring) Encode(ticket Ticket) (string, error) {
+	if !utf8.ValidString(ticket.Caller) || !utf8.ValidString(ticket.Node) {
+		return "", &Error{Op: "encode", Kind: KindInvalid}
+	}
+	var body bytes.Buffer
+	encoder := json.NewEncoder(&body)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(ticket); err != nil {
+		return "", &Error{Op: "encode", Kind: KindInvalid, Err: err}
+	}
+	signed := formatVersion + "." + encoding.EncodeToString(body.Bytes())
+	text := signed + "." + encoding.EncodeToString(r.sign(signed))
+	if len(text) > MaxLength {
+		return "", &Error{Op: "encode", Kind: KindInvalid}
+	}
+	return text, nil
+}
+
+// Verify decodes a ticket and checks its tag and its caller. It does not check
+// the expiry, which only the issuing table can do.
+func (r *Keyring) Verify(text, caller string) (Ticket, error) {
+	signed, tag, err := split(text)
+	if err != nil {
+		return Ticket{}, err
+	}
+	if !r.accepts(signed, tag) {
+		return Ticket{}, &Error{Op: "verify", Kind: KindForged}
+	}
+	ticket, err := decodeBody(strings.TrimPrefix(signed, formatVersion+"."))
+	if err != nil {
+		return Ticket{}, err
+	}
+	if ticket.Caller != caller {
+		return Ticket{}, &Error{Op: "verify", Kind: KindWrongCaller}
+	}
+	return ticket, nil
+}
+
+func split(text string) (signed string, tag []byte, err error) {
+	if len(text) > MaxLength {
+		return "", nil, &Error{Op: "decode", Kind: KindMalformed}
+	}
+	parts := strings.Split(text, ".")
+	if len(parts) != 3 || parts[0] != formatVersion {
+		return "", nil, &Error{Op: "decode", Kind: KindMalformed}
+	}
+	// The decoder skips line breaks; a ticket must have one spelling only.
+	if strings.ContainsAny(text, "\r\n") {
+		return "", nil, &Error{Op: "decode", Kind: KindMalformed}
+	}
+	tag, err = encoding.DecodeString(parts[2])
+	if err != nil {
+		return "", nil, &Error{Op: "decode", Kind: KindMalformed, Err: err}
+	}
+	return parts[0] + "." + parts[1], tag, nil
+}
+
+func decodeBody(text string) (Ticket, error) {
+	body, err := encoding.DecodeString(text)
+	if err != nil {
+		return Ticket{}, &Error{Op: "decode", Kind: KindMalformed, Err: err}
+	}
+	var ticket Ticket
+	if err := json.Unmarshal(body, &ticket); err != nil {
+		return Ticket{}, &Error{Op: "decode", Kind: KindMalformed, Err: err}
+	}
+	return ticket, nil
+}
