--- a/core/parser/document.go
+++ b/core/parser/document.go
@@ -17,6 +17,15 @@
 	// Edit identifies the edit that wrote this document, so that an operator
 	// whose write lost its answer can tell whether the write took effect.
 	Edit string `json:"edit,omitempty"`
+	// Deleted marks a tombstone, which has a service and an edit only.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// tombstone is the stored form of a deleted service.
+type tombstone struct {
+	Service string `json:"service"`
+	Deleted bool   `json:"deleted"`
+	Edit    string `json:"edit,omitempty"`
 }
 
 // Set is a group of targets that together serve the service, such as the old
@@ -49,12 +58,21 @@
 	Mirror          *Mirror  `json:"mirror,omitempty"`
 	Deadline        Duration `json:"deadline"`
 	MinimumCoverage float64  `json:"minimum-coverage"`
-	Priority        string   `json:"priority"`
+	// Priority is one of the constants PriorityHigh, PriorityNormal and
+	// PriorityLow.
+	Priority string `json:"priority"`
 	// HedgeBudget is the share of sub-requests that may be sent again as
 	// hedges or retries.
 	HedgeBudget float64 `json:"hedge-budget"`
 }
 
+// Priorities of a service.
+const (
+	PriorityHigh   = "high"
+	PriorityNormal = "normal"
+	PriorityLow    = "low"
+)
+
 // Move sends a share of the callers to another set.
 type Move struct {
 	Set   string  `json:"set"`
@@ -96,9 +114,14 @@
 	return nil, false
 }
 
-// Encode returns the document as indented JSON.
+// Encode returns the document as indented JSON, and a tombstone without the
+// fields that it does not have.
 func (d *Document) Encode() ([]byte, error) {
-	body, err := json.MarshalIndent(d, "", "  ")
+	var value any = d
+	if d.Deleted {
+		value = tombstone{Service: d.Service, Deleted: true, Edit: d.Edit}
+	}
+	body, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
 		return nil, &Error{Op: "encode", Kind: KindMalformed, Err: err}
 	}
--- a/core/parser/error.go
+++ b/core/parser/error.go
@@ -7,8 +7,10 @@
 
 // Kinds of errors.
 const (
+	// KindMalformed says that a text cannot be read at all.
 	KindMalformed Kind = "malformed"
-	KindInvalid   Kind = "invalid"
+	// KindInvalid says that a document has mistakes.
+	KindInvalid Kind = "invalid"
 )
 
 // Error is the error type of this package.
--- a/core/validator/schema.go
+++ b/core/validator/schema.go
@@ -89,10 +89,10 @@
 			problems = append(problems, source.Problem(pointer+"/"+escape(name), "missing"))
 		}
 	case *kind.Format:
-		source.invalid = append(source.invalid, pointer)
+		source.invalid.Add(pointer)
 		problems = append(problems, source.Problem(pointer, k.Err.Error()))
 	default:
-		source.invalid = append(source.invalid, pointer)
+		source.invalid.Add(pointer)
 		problems = append(problems, source.Problem(pointer, k.LocalizedString(english)))
 	}
 	return problems
--- a/core/validator/source.go
+++ b/core/validator/source.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/tailscale/hujson"
+
+	"jackdawcart.org/core/container"
 )
 
 // maxDepth bounds the nesting of a file. The parser recurses, and a file of
@@ -22,13 +25,17 @@
 	file string
 	text []byte
 	root hujson.Value
+	// offsets holds the start of each value by JSON pointer and newlines the
+	// end of each line, as a search of the text for each mistake would take
+	// quadratic time.
+	offsets  map[string]int
+	newlines []int
 	// invalid holds the JSON pointers of values that failed a schema.
-	invalid []string
+	invalid container.Set[string]
 }
 
 // Parse reads JSON with comments and refuses a text longer than limit bytes.
 func Parse(file string, text []byte, limit int) (*Source, Problems) {
-	s := &Source{file: file, text: text}
 	if len(text) > limit {
 		message := fmt.Sprintf("%d bytes, the limit is %d", len(text), limit)
 		return nil, Problems{{File: file, Line: 1, Message: message}}
@@ -41,19 +48,28 @@
 	if err != nil {
 		return nil, Problems{syntaxProblem(file, err)}
 	}
-	s.root = root
-	return s, s.repeatedNames(&s.root, "")
+	s := &Source{
+		file:    file,
+		text:    text,
+		root:    root,
+		offsets: make(map[string]int),
+		invalid: container.NewSet[string](),
+	}
+	s.indexLines()
+	return s, s.indexValues()
 }
 
 // Standard returns the text as plain JSON. Values that failed a schema are
 // null, so that the others can still be decoded and checked.
 func (s *Source) Standard() []byte {
 	root := s.root.Clone()
-	for _, pointer := range s.invalid {
-		if v := root.Find(pointer); v != nil {
-			v.Value = hujson.Literal("null")
+	walk(&root, "", root.StartOffset, func(pointer string, _ int, v *hujson.Value) bool {
+		if !s.invalid.Has(pointer) {
+			return true
 		}
-	}
+		v.Value = hujson.Literal("null")
+		return false
+	})
 	root.Standardize()
 	return root.Pack()
 }
@@ -71,8 +87,8 @@
 
 func (s *Source) lineOf(pointer string) int {
 	for {
-		if v := s.root.Find(pointer); v != nil {
-			return s.lineAt(v.StartOffset)
+		if offset, ok := s.offsets[pointer]; ok {
+			return s.lineAt(offset)
 		}
 		end := strings.LastIndexByte(pointer, '/')
 		if end < 0 {
@@ -83,35 +99,54 @@
 }
 
 func (s *Source) lineAt(offset int) int {
-	return 1 + bytes.Count(s.text[:min(offset, len(s.text))], []byte("\n"))
+	line, _ := slices.BinarySearch(s.newlines, offset)
+	return line + 1
+}
+
+func (s *Source) indexLines() {
+	for i, c := range s.text {
+		if c == '\n' {
+			s.newlines = append(s.newlines, i)
+		}
+	}
 }
 
-// repeatedNames finds names that an object has twice, of which encoding/json
-// would silently take the last.
-func (s *Source) repeatedNames(v *hujson.Value, pointer string) Problems {
+// indexValues notes the place of each value and returns the names that an
+// object has twice, of which encoding/json would silently take the last.
+func (s *Source) indexValues() Problems {
 	var problems Problems
+	walk(&s.root, "", s.root.StartOffset, func(pointer string, start int, v *hujson.Value) bool {
+		if _, taken := s.offsets[pointer]; taken {
+			problem := s.Problem(pointer, "name is given twice")
+			problem.Line = s.lineAt(start)
+			problems = append(problems, problem)
+		}
+		s.offsets[pointer] = start
+		return true
+	})
+	return problems
+}
+
+// walk calls visit for each value with its JSON pointer and its start, which
+// is that of the name for the member of an object. It skips the values below
+// one for which visit returns false.
+func walk(v *hujson.Value, pointer string, start int, visit func(string, int, *hujson.Value) bool) {
+	if !visit(pointer, start, v) {
+		return
+	}
 	switch value := v.Value.(type) {
 	case *hujson.Array:
 		for i := range value.Elements {
-			child := pointer + "/" + strconv.Itoa(i)
-			problems = append(problems, s.repeatedNames(&value.Elements[i], child)...)
+			element := &value.Elements[i]
+			walk(element, pointer+"/"+strconv.Itoa(i), element.StartOffset, visit)
 		}
 	case *hujson.Object:
-		seen := make(map[string]bool)
 		for i := range value.Members {
 			member := &value.Members[i]
-			name := member.Name.Value.(hujson.Literal).String()
-			child := pointer + "/" + escape(name)
-			if seen[name] {
-				problem := s.Problem(child, "name is given twice")
-				problem.Line = s.lineAt(member.Name.StartOffset)
-				problems = append(problems, problem)
-			}
-			seen[name] = true
-			problems = append(problems, s.repeatedNames(&member.Value, child)...)
+			name := escape(member.Name.Value.(hujson.Literal).String())
+			walk(&member.Value, pointer+"/"+name, member.Name.StartOffset, visit)
 		}
 	}
-	return problems
 }
 
 func syntaxProblem(file string, err error) Problem {
--- a/core/validator/validator_test.go
+++ b/core/validator/validator_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"jackdawcart.org/core/validator"
 )
@@ -49,3 +50,23 @@
 		t.Errorf("got %v", problems)
 	}
 }
+
+// A search for the line of each mistake would take minutes for a long file
+// that has nothing but mistakes.
+func TestCheckTakesLinearTime(t *testing.T) {
+	schema := validator.MustCompile("linear", []byte(`{"additionalProperties": false}`))
+	var text strings.Builder
+	const names = 100_000
+	for i := range names {
+		fmt.Fprintf(&text, "\n\"%d\": 1,", i)
+	}
+	start := time.Now()
+	source, _ := validator.Parse("long", []byte("{"+text.String()+"}"), 1<<21)
+	problems := schema.Check(source)
+	if len(problems) != names {
+		t.Errorf("got %d problems, want %d", len(problems), names)
+	}
+	if elapsed := time.Since(start); elapsed > 10*time.Second {
+		t.Errorf("took %s", elapsed)
+	}
+}
