--- /dev/null
+++ b/targetstandin/simulator/simulator_test.go
@@ -0,0 +1,361 @@
+package simulator_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/checker"
+	"jackdawcart.org/targetstandin/describer"
+	"jackdawcart.org/targetstandin/simulator"
+)
+
+const ms = describer.Duration(time.Millisecond)
+
+// answer is the union of the answers of the target protocol.
+type answer struct {
+	Status    int             `json:"-"`
+	Code      string          `json:"code"`
+	QueryID   string          `json:"query-id"`
+	SubID     json.RawMessage `json:"sub-id"`
+	Hits      []checker.Hit   `json:"hits"`
+	Result    string          `json:"result"`
+	State     string          `json:"state"`
+	Cancelled bool            `json:"cancelled"`
+}
+
+func start(t *testing.T, change func(*describer.Target)) *simulator.Target {
+	t.Helper()
+	d := describer.Target{
+		Name: "campo-1", Service: "campo", Set: "old", Address: netip.MustParseAddrPort("127.0.0.1:0"),
+		Slots: 1, Connections: 8, Queue: 4, ServiceTime: describer.ServiceTime{Median: 5 * ms},
+		Snapshots: []describer.Snapshot{{
+			ID: "campo-old-1", Sequence: 1, Shards: []checker.Shard{{Name: "s0", Weight: 1}, {Name: "s1", Weight: 2}}, Held: []string{"s0"},
+		}},
+	}
+	if change != nil {
+		change(&d)
+	}
+	target, err := simulator.Start(d, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = target.Close() })
+	return target
+}
+
+func inject(t *testing.T, target *simulator.Target, f simulator.Fault) {
+	t.Helper()
+	if err := target.Inject(f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func post(client *http.Client, target *simulator.Target, path, deadline, body string) (answer, error) {
+	url := "http://" + target.Description().Address.String() + path
+	method := http.MethodPost
+	if body == "" {
+		method = http.MethodGet
+	}
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	if deadline != "" {
+		request.Header.Set("Deadline", deadline)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	a := answer{Status: response.StatusCode}
+	return a, json.NewDecoder(response.Body).Decode(&a)
+}
+
+func client(t *testing.T) *http.Client {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: 5 * time.Second}
+}
+
+func search(queryID, shard, text string) string {
+	return fmt.Sprintf(`{"query-id":%q,"sub-id":3,"shard":%q,"snapshot":"campo-old-1","text":%q}`, queryID, shard, text)
+}
+
+func mustPost(t *testing.T, target *simulator.Target, path, deadline, body string) answer {
+	t.Helper()
+	c := client(t)
+	defer c.CloseIdleConnections()
+	a, err := post(c, target, path, deadline, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// A correct answer echoes the identity unchanged and is the one that the
+// checker expects; the record joins it with its run.
+func TestSearchAnswersAndRecords(t *testing.T) {
+	target := start(t, nil)
+	got := mustPost(t, target, "/v1/search", "1s", search("q1", "s0", "roof"))
+	want := answer{Status: 200, QueryID: "q1", SubID: json.RawMessage("3"), Hits: checker.Search("s0", "campo-old-1", "roof", 0)}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	run := target.Record().Runs[0]
+	if run.End.Before(run.Start.Add(time.Millisecond)) {
+		t.Errorf("run took %v", run.End.Sub(run.Start))
+	}
+	run.Start, run.End = time.Time{}, time.Time{}
+	wantRun := checker.Run{
+		Target: "campo-1", Service: "campo", Set: "old", Kind: checker.RunSearch, QueryID: "q1", SubID: "3",
+		Shard: "s0", Snapshot: "campo-old-1", Text: "roof", Outcome: checker.RunCompleted,
+	}
+	if diff := cmp.Diff(wantRun, run); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Every refusal must be typed and must leave no run, or a "not run" answer
+// would be untrue.
+func TestRefusalsDoNotRun(t *testing.T) {
+	cases := map[string]struct {
+		fault    simulator.Fault
+		shard    string
+		deadline string
+		status   int
+	}{
+		"draining":      {simulator.Fault{Kind: simulator.FaultDrain}, "s0", "", 503},
+		"shed":          {simulator.Fault{Kind: simulator.FaultShed}, "s0", "", 503},
+		"deadline":      {simulator.Fault{Kind: simulator.FaultStatusLie}, "s0", "-1ms", 504},
+		"snapshot-gone": {simulator.Fault{Kind: simulator.FaultRetire, ID: "campo-old-1"}, "s0", "", 409},
+		"malformed":     {simulator.Fault{Kind: simulator.FaultStatusLie}, "s0", "soon", 400},
+	}
+	for code, c := range cases {
+		t.Run(code, func(t *testing.T) {
+			target := start(t, nil)
+			inject(t, target, c.fault)
+			got := mustPost(t, target, "/v1/search", c.deadline, search("q1", c.shard, "roof"))
+			if diff := cmp.Diff(answer{Status: c.status, Code: code}, got); diff != "" {
+				t.Error(diff)
+			}
+			if runs := target.Record().Runs; len(runs) != 0 {
+				t.Errorf("refused request ran: %v", runs)
+			}
+		})
+	}
+}
+
+// One slot: the second request waits in the queue until its deadline, the
+// third is cancelled there, and the first is cancelled while it runs.
+func TestQueueDeadlineAndCancel(t *testing.T) {
+	target := start(t, func(d *describer.Target) { d.ServiceTime.Median = 10 * describer.Duration(time.Second) })
+	answers := make(chan answer, 3)
+	got := map[string]string{}
+	collect := func() {
+		a := <-answers
+		got[a.QueryID] = a.Code
+	}
+	for _, q := range []struct{ id, deadline string }{{"q1", ""}, {"q2", "30ms"}, {"q3", ""}} {
+		go func() {
+			a, _ := post(client(t), target, "/v1/search", q.deadline, search(q.id, "s0", q.id))
+			a.QueryID = q.id
+			answers <- a
+		}()
+		waitFor(t, func() bool { return len(target.Record().Runs) == 1 })
+	}
+	collect()
+	for _, id := range []string{"q3", "q1"} {
+		body := fmt.Sprintf(`{"query-id":%q,"sub-id":3}`, id)
+		waitFor(t, func() bool { return mustPost(t, target, "/v1/cancel", "", body).Cancelled })
+	}
+	collect()
+	collect()
+	if diff := cmp.Diff(map[string]string{"q1": "cancelled", "q2": "deadline", "q3": "cancelled"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if runs := target.Record().Runs; len(runs) != 1 || !runs[0].Cancelled {
+		t.Errorf("want one cancelled run, got %v", runs)
+	}
+}
+
+// A closed connection stops a search, but a started execution completes.
+func TestClosedConnection(t *testing.T) {
+	target := start(t, func(d *describer.Target) {
+		d.Slots = 2
+		d.ServiceTime.Median = 100 * ms
+	})
+	impatient := client(t)
+	impatient.Timeout = 30 * time.Millisecond
+	if _, err := post(impatient, target, "/v1/search", "", search("q1", "s0", "x")); err == nil {
+		t.Fatal("search did not time out")
+	}
+	if _, err := post(impatient, target, "/v1/execute", "", `{"request-id":"r1","operation":"issue","payload":"p"}`); err == nil {
+		t.Fatal("execute did not time out")
+	}
+	outcomes := func() map[checker.RunKind]checker.RunOutcome {
+		got := map[checker.RunKind]checker.RunOutcome{}
+		for _, r := range target.Record().Runs {
+			got[r.Kind] = r.Outcome
+		}
+		return got
+	}
+	want := map[checker.RunKind]checker.RunOutcome{checker.RunSearch: checker.RunCancelled, checker.RunExecute: checker.RunCompleted}
+	waitFor(t, func() bool { return cmp.Equal(want, outcomes()) })
+}
+
+// Connections above the limit are closed; a freed place is usable again.
+func TestConnectionLimit(t *testing.T) {
+	target := start(t, func(d *describer.Target) { d.Connections = 1 })
+	first := dial(t, target)
+	waitFor(t, func() bool { return refused(dial(t, target)) })
+	_ = first.Close()
+	waitFor(t, func() bool { return !refused(dial(t, target)) })
+}
+
+// A poison request breaks the whole target, which refuses connections and
+// comes back on the same port.
+func TestCrashOnText(t *testing.T) {
+	target := start(t, nil)
+	inject(t, target, simulator.Fault{Kind: simulator.FaultCrashOn, Text: "poison", For: 200 * ms})
+	idle := dial(t, target)
+	if _, err := post(client(t), target, "/v1/search", "", search("q1", "s0", "poison")); err == nil {
+		t.Error("poison request was answered")
+	}
+	if !refused(idle) {
+		t.Error("another connection survived the crash")
+	}
+	if c, err := net.Dial("tcp", target.Description().Address.String()); err == nil {
+		_ = c.Close()
+		t.Error("a crashed target accepted a connection")
+	}
+	waitFor(t, func() bool {
+		a, err := post(client(t), target, "/v1/search", "", search("q2", "s0", "fine"))
+		return err == nil && a.Status == http.StatusOK
+	})
+	if run := target.Record().Runs[0]; run.Outcome != checker.RunCrashed {
+		t.Errorf("run of the poison request: %v", run)
+	}
+}
+
+// Open connections go silent without closing while new ones work.
+func TestSilentConnections(t *testing.T) {
+	target := start(t, nil)
+	old := client(t)
+	if _, err := post(old, target, "/v1/status", "", ""); err != nil {
+		t.Fatal(err)
+	}
+	inject(t, target, simulator.Fault{Kind: simulator.FaultSilent})
+	old.Timeout = 100 * time.Millisecond
+	if a, err := post(old, target, "/v1/status", "", ""); err == nil {
+		t.Errorf("silent connection answered: %v", a)
+	}
+	if a := mustPost(t, target, "/v1/status", "", ""); a.State != "serving" {
+		t.Errorf("new connection: %v", a)
+	}
+}
+
+// Late, crossed and duplicated answers reach the client as such.
+func TestWrongAnswers(t *testing.T) {
+	target := start(t, nil)
+	inject(t, target, simulator.Fault{Kind: simulator.FaultLateAnswer, Delay: 50 * ms})
+	began := time.Now()
+	mustPost(t, target, "/v1/search", "", search("q1", "s0", "one"))
+	if took := time.Since(began); took < 50*time.Millisecond {
+		t.Errorf("late answer after %v", took)
+	}
+	inject(t, target, simulator.Fault{Kind: simulator.FaultClear})
+	inject(t, target, simulator.Fault{Kind: simulator.FaultCrossedAnswer})
+	if a := mustPost(t, target, "/v1/search", "", search("q2", "s0", "two")); a.QueryID != "q1" {
+		t.Errorf("crossed answer has identity %q", a.QueryID)
+	}
+	inject(t, target, simulator.Fault{Kind: simulator.FaultClear})
+	inject(t, target, simulator.Fault{Kind: simulator.FaultDuplicateAnswer})
+	if n := countAnswers(t, target, search("q3", "s0", "three")); n != 2 {
+		t.Errorf("%d answers on the connection", n)
+	}
+}
+
+// A lagging status shows what was true before; a lying one shows what it was
+// told. Slowness applies for its time only.
+func TestStatusAndSlowness(t *testing.T) {
+	target := start(t, nil)
+	inject(t, target, simulator.Fault{Kind: simulator.FaultStatusLag, Delay: 200 * ms})
+	inject(t, target, simulator.Fault{Kind: simulator.FaultDrain})
+	if a := mustPost(t, target, "/v1/status", "", ""); a.State != "serving" {
+		t.Errorf("status did not lag: %q", a.State)
+	}
+	waitFor(t, func() bool { return mustPost(t, target, "/v1/status", "", "").State == "draining" })
+	inject(t, target, simulator.Fault{Kind: simulator.FaultStatusLie, State: "starting"})
+	if a := mustPost(t, target, "/v1/status", "", ""); a.State != "starting" {
+		t.Errorf("status did not lie: %q", a.State)
+	}
+	inject(t, target, simulator.Fault{Kind: simulator.FaultClear})
+	inject(t, target, simulator.Fault{Kind: simulator.FaultSlow, Factor: 20})
+	began := time.Now()
+	mustPost(t, target, "/v1/search", "", search("q1", "s0", "x"))
+	if took := time.Since(began); took < 95*time.Millisecond {
+		t.Errorf("slowed search took %v", took)
+	}
+}
+
+// A malformed fault must not be taken for one in force.
+func TestInjectRejects(t *testing.T) {
+	target := start(t, nil)
+	for _, f := range []simulator.Fault{{Kind: "typo"}, {Kind: simulator.FaultSlow}, {Kind: simulator.FaultPublish}, {Kind: simulator.FaultDrain, Share: 2}} {
+		if err := target.Inject(f); err == nil {
+			t.Errorf("accepted %+v", f)
+		}
+	}
+}
+
+func dial(t *testing.T, target *simulator.Target) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", target.Description().Address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// refused reports whether the peer closed the connection.
+func refused(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func countAnswers(t *testing.T, target *simulator.Target, body string) int {
+	t.Helper()
+	c := dial(t, target)
+	fmt.Fprintf(c, "POST /v1/search HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	all, _ := io.ReadAll(bufio.NewReader(c))
+	return bytes.Count(all, []byte("HTTP/1.1 200 OK"))
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 200 {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("condition not reached")
+}
--- a/targetstandin/simulator/work.go
+++ b/targetstandin/simulator/work.go
@@ -195,12 +195,14 @@
 func (t *Target) end(w *work, outcome checker.RunOutcome, r *refusal) *refusal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w.index < len(t.runs) {
-		run := &t.runs[w.index]
-		run.End = time.Now()
-		run.Outcome = outcome
-		run.Cancelled = outcome == checker.RunCancelled
+	// A crash also breaks the connection, which looks like a cancellation.
+	if isClosed(w.crashed) {
+		outcome, r = checker.RunCrashed, refuseCrashed
 	}
+	run := &t.runs[w.index]
+	run.End = time.Now()
+	run.Outcome = outcome
+	run.Cancelled = outcome == checker.RunCancelled
 	t.release()
 	return r
 }
