--- /dev/null
+++ b/platformstandin/server/server_test.go
@@ -0,0 +1,161 @@
+package server_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"jackdawcart.org/platformstandin/server"
+	"jackdawcart.org/platformstandin/storer"
+)
+
+type platform struct {
+	*server.Server
+	url string
+}
+
+func start(t *testing.T, limits server.Limits, vmLag time.Duration) platform {
+	t.Helper()
+	s := server.New(storer.New(), limits, vmLag, zap.NewNop())
+	web := httptest.NewServer(s.Handler())
+	t.Cleanup(web.Close)
+	return platform{s, web.URL}
+}
+
+// do returns the answer's status and body, or status 0 for a lost answer.
+func (p platform) do(method, path, body string) string {
+	request, err := http.NewRequest(method, p.url+path, strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return "no answer"
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	return fmt.Sprintf("%d %s", response.StatusCode, text)
+}
+
+func (p platform) counters(t *testing.T) server.Record {
+	t.Helper()
+	var record server.Record
+	body := strings.TrimPrefix(p.do(http.MethodGet, "/control/record", ""), "200 ")
+	if err := json.Unmarshal([]byte(body), &record); err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
+func (p platform) inject(t *testing.T, faults string) {
+	t.Helper()
+	if got := p.do(http.MethodPost, "/control", faults); got != "204 " {
+		t.Fatal(got)
+	}
+}
+
+// The answers are the published protocol of the platform; clients depend on
+// their exact form.
+func TestProtocol(t *testing.T) {
+	p := start(t, server.Limits{}, 0)
+	steps := []struct{ method, path, body, want string }{
+		{"PUT", "/v1/kv/services/a", `{"value":"x","expected-revision":0}`, `200 {"key":"services/a","value":"x","revision":1}`},
+		{"PUT", "/v1/kv/services/a", `{"value":"y"}`, `409 {"code":"revision-mismatch","message":"storer: put: revision-mismatch","key":"services/a","value":"x","revision":1}`},
+		{"GET", "/v1/kv/services/a", "", `200 {"key":"services/a","value":"x","revision":1}`},
+		{"GET", "/v1/kv/services/b", "", `404 {"code":"not-found","message":"storer: get: not-found"}`},
+		{"GET", "/v1/kv?prefix=services/", "", `200 {"revision":1,"entries":[{"key":"services/a","value":"x","revision":1}]}`},
+		{"GET", "/v1/watch?prefix=services/&after-revision=1&wait=20ms", "", `200 {"revision":1,"entries":[]}`},
+		{"POST", "/v1/leases", `{"ttl":"10s"}`, `200 {"id":"lease-1","ttl":"10s"}`},
+		{"PUT", "/v1/leases/lease-1", "", `200 {"id":"lease-1","ttl":"10s"}`},
+		{"PUT", "/v1/leases/lease-2", "", `404 {"code":"lease-expired","message":"storer: renew: lease-expired"}`},
+		{"GET", "/v1/vms", "", `200 {"vms":[]}`},
+	}
+	for _, step := range steps {
+		if diff := cmp.Diff(step.want, p.do(step.method, step.path, step.body)); diff != "" {
+			t.Errorf("%s %s: %s", step.method, step.path, diff)
+		}
+	}
+	want := map[string]int{"put": 2, "get": 2, "list": 1, "watch": 1, "lease-grant": 1, "lease-renew": 2, "vms": 1}
+	if diff := cmp.Diff(want, p.counters(t).Calls); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A write whose answer is lost must have taken effect.
+func TestLostAnswer(t *testing.T) {
+	p := start(t, server.Limits{}, 0)
+	p.inject(t, `[{"kind":"lose-answer"}]`)
+	if got := p.do("PUT", "/v1/kv/k", `{"value":"x"}`); got != "no answer" {
+		t.Error(got)
+	}
+	if got := p.do("GET", "/v1/kv/k", ""); got != `200 {"key":"k","value":"x","revision":1}` {
+		t.Error(got)
+	}
+	if n := p.counters(t).LostAnswers; n != 1 {
+		t.Errorf("%d lost answers counted", n)
+	}
+}
+
+// An outage refuses or holds every call, also a watch that waits already, and
+// ends by itself.
+func TestOutageAndSlowness(t *testing.T) {
+	p := start(t, server.Limits{}, 0)
+	watch := make(chan string)
+	go func() { watch <- p.do("GET", "/v1/watch?wait=300ms", "") }()
+	for p.counters(t).Calls["watch"] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.inject(t, `[{"kind":"outage","for":"600ms"}]`)
+	const down = `503 {"code":"outage","message":"the platform is down"}`
+	if got := p.do("GET", "/v1/vms", ""); got != down {
+		t.Error(got)
+	}
+	if got := <-watch; got != down {
+		t.Error(got)
+	}
+	p.inject(t, `[{"kind":"clear"},{"kind":"outage","silent":true,"for":"100ms"},{"kind":"slow","delay":"50ms"}]`)
+	began := time.Now()
+	if got := p.do("GET", "/v1/vms", ""); got != `200 {"vms":[]}` {
+		t.Error(got)
+	}
+	if took := time.Since(began); took < 90*time.Millisecond {
+		t.Errorf("held call took %v", took)
+	}
+}
+
+// The VM list lags, and the rate limit is answered as a typed error.
+func TestVMLagAndRateLimit(t *testing.T) {
+	p := start(t, server.Limits{WritesPerSecond: 1}, 150*time.Millisecond)
+	const live = `{"vms":[{"name":"vm-1","address":"127.0.0.1:1","failure-domain":"rosario","state":"live"}]}`
+	leaving := strings.Replace(live, `"live"`, `"leaving"`, 1)
+	for _, body := range []string{live, leaving} {
+		if got := p.do("POST", "/control/vms", body); got != "204 " {
+			t.Fatal(got)
+		}
+	}
+	if got := p.do("GET", "/v1/vms", ""); got != "200 "+live {
+		t.Errorf("list did not lag: %s", got)
+	}
+	time.Sleep(160 * time.Millisecond)
+	if got := p.do("GET", "/v1/vms", ""); got != "200 "+leaving {
+		t.Errorf("list still lags: %s", got)
+	}
+	p.do("PUT", "/v1/kv/a", `{"value":"x"}`)
+	if got := p.do("PUT", "/v1/kv/b", `{"value":"x"}`); !strings.HasPrefix(got, `429 {"code":"overloaded"`) {
+		t.Error(got)
+	}
+	for _, body := range []string{`[{"kind":"typo"}]`, `[{"kind":"slow"}]`, `{}`} {
+		if got := p.do("POST", "/control", body); !strings.HasPrefix(got, "400 ") {
+			t.Errorf("%s: %s", body, got)
+		}
+	}
+}
