Run non-idempotent requests under tickets in the gateway

The issuing process is the only one that runs a ticket. Others forward it over a session between gateways, a stopping gateway hands its finished answers to a live one.

--- /dev/null
+++ b/gateway/issuer/forward.go
@@ -0,0 +1,191 @@
+package issuer
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/callerapi"
+	"jackdawcart.org/core/messenger"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/ticketer"
+)
+
+// answersPerFrame keeps a handover frame below the limit of a frame.
+const answersPerFrame = 16
+
+// forward hands a request to the gateway that issued its ticket. Whatever goes
+// wrong on the way, the ticket may have run, so the outcome is unknown.
+func (i *Issuer) forward(ctx context.Context, addr netip.AddrPort, request Request) (*peerpb.ExecuteAnswer, error) {
+	request.Execute.TimeLeft = durationOf(request.Deadline.Sub(i.config.Timers.Now()))
+	frame := &peerpb.Frame{Kind: &peerpb.Frame_TicketForward{TicketForward: &peerpb.TicketForward{
+		Ticket: request.Ticket, Caller: request.Caller, Execute: request.Execute,
+	}}}
+	reply, err := i.exchange(ctx, addr, request.Deadline, frame)
+	if err != nil {
+		i.config.Log.Warn("issuer of a ticket did not answer", zap.Stringer("issuer", addr), zap.Error(err))
+		return unknown(request.Execute.RequestId), nil
+	}
+	answer := reply.GetExecuteAnswer()
+	if answer == nil {
+		return unknown(request.Execute.RequestId), nil
+	}
+	if answer.Code != "" {
+		return nil, &Error{
+			Op: "execute", Kind: callerapi.ErrorCode(answer.Code), Outcome: answer.Outcome, Message: answer.Message,
+		}
+	}
+	return answer, nil
+}
+
+// askSuccessor asks the gateway to which a stopped issuer has handed its answers.
+func (i *Issuer) askSuccessor(ctx context.Context, ticket ticketer.Ticket, request Request) (*peerpb.ExecuteAnswer, error) {
+	successor, ok := ticketer.Successor(ticket.Node, ticket.Incarnation, i.config.Directory.Gateways()).Get()
+	if !ok || successor == i.config.Table.Node {
+		return unknown(requestID(ticket)), nil
+	}
+	_, addr, ok := i.config.Directory.Gateway(successor)
+	if !ok {
+		return unknown(requestID(ticket)), nil
+	}
+	return i.forward(ctx, addr, request)
+}
+
+func (i *Issuer) exchange(ctx context.Context, addr netip.AddrPort, deadline time.Time, frame *peerpb.Frame) (*peerpb.Frame, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	session, err := i.config.Sessions.Session(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.Open()
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	defer stop()
+	if err := stream.Send(frame); err != nil {
+		return nil, err
+	}
+	return stream.Receive()
+}
+
+// Serve answers a stream of another gateway: forwarded tickets and handovers.
+func (i *Issuer) Serve(ctx context.Context, _ *peerpb.Hello, stream *messenger.Stream) {
+	for {
+		frame, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		var reply *peerpb.Frame
+		switch kind := frame.Kind.(type) {
+		case *peerpb.Frame_TicketForward:
+			reply = i.serveForward(ctx, kind.TicketForward)
+		case *peerpb.Frame_TicketHandover:
+			reply = i.adopt(kind.TicketHandover)
+		default:
+			continue
+		}
+		if stream.Send(reply) != nil {
+			return
+		}
+	}
+}
+
+// serveForward decides here or not at all, so that two gateways with differing
+// views cannot pass a ticket to each other without end.
+func (i *Issuer) serveForward(ctx context.Context, forward *peerpb.TicketForward) *peerpb.Frame {
+	answer := &peerpb.ExecuteAnswer{}
+	i.mu.Lock()
+	ticket, err := i.table.Verify(forward.Ticket, forward.Caller)
+	i.mu.Unlock()
+	if err != nil {
+		err = ticketError("execute", err)
+	} else {
+		answer, err = i.execute(ctx, ticket, Request{
+			Ticket: forward.Ticket, Caller: forward.Caller, Execute: forward.Execute,
+			Deadline: i.config.Timers.Now().Add(forward.Execute.GetTimeLeft().AsDuration()),
+		})
+	}
+	if failure, ok := err.(*Error); ok { //nolint:errorlint // Only this package's own error comes from execute.
+		answer = &peerpb.ExecuteAnswer{Outcome: failure.Outcome, Code: string(failure.Kind), Message: failure.Message}
+	}
+	return &peerpb.Frame{Kind: &peerpb.Frame_ExecuteAnswer{ExecuteAnswer: answer}}
+}
+
+// handOver gives finished answers to the gateway that others will ask.
+func (i *Issuer) handOver(ctx context.Context, answers []ticketer.Handed) error {
+	byIssuer := make(map[string][]*peerpb.HandedAnswer)
+	for _, a := range answers {
+		successor, ok := ticketer.Successor(a.Node, a.Incarnation, i.others()).Get()
+		if !ok {
+			return &Error{Op: "hand-over", Kind: callerapi.ErrorCodeUnavailable, Message: "no other gateway is live"}
+		}
+		byIssuer[successor] = append(byIssuer[successor], message(a))
+	}
+	for successor, handed := range byIssuer {
+		if err := i.handTo(ctx, successor, handed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// others returns the live gateways without this one.
+func (i *Issuer) others() []string {
+	return slices.DeleteFunc(i.config.Directory.Gateways(), func(node string) bool {
+		return node == i.config.Table.Node
+	})
+}
+
+func (i *Issuer) handTo(ctx context.Context, successor string, handed []*peerpb.HandedAnswer) error {
+	_, addr, ok := i.config.Directory.Gateway(successor)
+	if !ok {
+		return &Error{Op: "hand-over", Kind: callerapi.ErrorCodeUnavailable, Message: "address of " + successor + " is unknown"}
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = i.config.Timers.Now().Add(5 * time.Second)
+	}
+	for chunk := range slices.Chunk(handed, answersPerFrame) {
+		frame := &peerpb.Frame{Kind: &peerpb.Frame_TicketHandover{TicketHandover: &peerpb.TicketHandover{Answers: chunk}}}
+		if _, err := i.exchange(ctx, addr, deadline, frame); err != nil {
+			return err
+		}
+	}
+	i.config.Log.Info("answers handed over", zap.String("to", successor), zap.Int("answers", len(handed)))
+	return nil
+}
+
+func (i *Issuer) adopt(handover *peerpb.TicketHandover) *peerpb.Frame {
+	answers := make([]ticketer.Handed, 0, len(handover.Answers))
+	for _, a := range handover.Answers {
+		if len(a.Fingerprint) != len(ticketer.Fingerprint{}) {
+			continue
+		}
+		answers = append(answers, ticketer.Handed{
+			Node: a.Node, Incarnation: a.Incarnation, ID: a.Id,
+			Fingerprint: ticketer.Fingerprint(a.Fingerprint),
+			Remaining:   a.Remaining.AsDuration(),
+			Answer:      ticketer.Answer{Outcome: a.Outcome, Result: a.Result, ResultDropped: a.ResultDropped},
+		})
+	}
+	i.mu.Lock()
+	held := i.table.Adopt(i.config.Timers.Now(), answers)
+	i.mu.Unlock()
+	return &peerpb.Frame{Kind: &peerpb.Frame_TicketHandoverAck{
+		TicketHandoverAck: &peerpb.TicketHandoverAck{Held: uint32(held)},
+	}}
+}
+
+func message(a ticketer.Handed) *peerpb.HandedAnswer {
+	return &peerpb.HandedAnswer{
+		Node: a.Node, Incarnation: a.Incarnation, Id: a.ID,
+		Fingerprint: a.Fingerprint[:], Remaining: durationOf(a.Remaining),
+		Outcome: a.Answer.Outcome, Result: a.Answer.Result, ResultDropped: a.Answer.ResultDropped,
+	}
+}
--- a/gateway/responder/execute.go
+++ b/gateway/responder/execute.go
@@ -2,16 +2,155 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.uber.org/zap"
 
 	"jackdawcart.org/core/callerapi"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/tracer"
+	"jackdawcart.org/gateway/issuer"
 )
 
+// defaultExecuteDeadline applies when the caller names none. A non-idempotent
+// request is not hedged, so it gets more time than a query.
+const defaultExecuteDeadline = 2 * time.Second
+
+// maxExecuteDeadline bounds how long a request may hold its ticket.
+const maxExecuteDeadline = 10 * time.Second
+
 // IssueTicket issues a ticket for one non-idempotent request.
-func (r *Responder) IssueTicket(context.Context, callerapi.IssueTicketParams) (*callerapi.Ticket, error) {
-	return nil, notRun("issue-ticket", callerapi.ErrorCodeUnavailable, "tickets are not served")
+func (r *Responder) IssueTicket(_ context.Context, params callerapi.IssueTicketParams) (*callerapi.Ticket, error) {
+	if err := r.open("issue-ticket"); err != nil {
+		return nil, err
+	}
+	ticket, err := r.config.Issuer.Issue(params.JackdawcartCaller)
+	if err != nil {
+		return nil, executeError(err)
+	}
+	r.config.Metrics.Counter("tickets").Inc(1)
+	return &callerapi.Ticket{Ticket: ticket, ExpiresIn: r.config.TicketExpiry}, nil
 }
 
 // Execute runs a non-idempotent request at most once.
-func (r *Responder) Execute(context.Context, *callerapi.ExecuteRequest, callerapi.ExecuteParams) (*callerapi.ExecuteAnswer, error) {
-	return nil, notRun("execute", callerapi.ErrorCodeUnavailable, "execute is not served")
+func (r *Responder) Execute(ctx context.Context, request *callerapi.ExecuteRequest, params callerapi.ExecuteParams) (*callerapi.ExecuteAnswer, error) {
+	r.live.Add(1)
+	defer r.live.Add(-1)
+	ctx = tracer.WithTraceparent(ctx, params.Traceparent.Or(""))
+	ctx, span := r.config.Tracer.Start(ctx, "execute",
+		attribute.String("service", request.Service), attribute.String("operation", request.Operation))
+	defer span.End()
+	prepared, err := r.prepare(ctx, request, params.JackdawcartCaller)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := r.runOnce(ctx, request, prepared)
+	if err != nil {
+		return nil, executeError(err)
+	}
+	r.config.Log.Info("request executed", zap.String("request-id", answer.RequestId), zap.String("service", request.Service),
+		zap.String("operation", request.Operation), zap.Stringer("outcome", answer.Outcome), zap.Stringer("failure", answer.Failure))
+	return executeReply(answer)
+}
+
+func (r *Responder) runOnce(ctx context.Context, request *callerapi.ExecuteRequest, prepared issuer.Request) (*peerpb.ExecuteAnswer, error) {
+	if key, ok := request.IdempotencyKey.Get(); ok {
+		return r.config.Issuer.ExecuteKey(ctx, key, prepared)
+	}
+	return r.config.Issuer.Execute(ctx, prepared)
+}
+
+// prepare refuses a request that cannot run, before any target work.
+func (r *Responder) prepare(ctx context.Context, request *callerapi.ExecuteRequest, caller string) (issuer.Request, error) {
+	if err := r.open("execute"); err != nil {
+		return issuer.Request{}, err
+	}
+	_, known := r.config.Table.Service(request.Service)
+	fingerprint := executeFingerprint(request)
+	deadline := request.Deadline.Or(defaultExecuteDeadline)
+	switch {
+	case request.Ticket.IsSet() == request.IdempotencyKey.IsSet():
+		return issuer.Request{}, notRun("execute", callerapi.ErrorCodeMalformed, "name either a ticket or an idempotency key")
+	case !known:
+		return issuer.Request{}, notRun("execute", callerapi.ErrorCodeUnknownService, fmt.Sprintf("no service is named %q", request.Service))
+	case deadline < minDeadline:
+		return issuer.Request{}, notRun("execute", callerapi.ErrorCodeDeadlineTooLate, fmt.Sprintf("a deadline of %s leaves no time", deadline))
+	case r.config.Control.Quarantined(fingerprint):
+		return issuer.Request{}, notRun("execute", callerapi.ErrorCodeQuarantined, "this request has taken targets down and is refused for a time")
+	}
+	return issuer.Request{
+		Ticket:   request.Ticket.Or(""),
+		Caller:   caller,
+		Deadline: r.config.Timers.Now().Add(min(deadline, maxExecuteDeadline)),
+		Execute: &peerpb.Execute{
+			RequestId: uuid.NewString(), Service: request.Service, Operation: request.Operation,
+			Payload: []byte(request.Payload), Traceparent: tracer.Traceparent(ctx), Fingerprint: fingerprint,
+		},
+	}, nil
+}
+
+// open refuses requests before there is a configuration and after the stop.
+func (r *Responder) open(op string) error {
+	if r.Stopping() {
+		return notRun(op, callerapi.ErrorCodeShuttingDown, "this gateway is stopping; try another")
+	}
+	if !r.config.Control.Ready() {
+		return notRun(op, callerapi.ErrorCodeNotReady, "no configuration is in force yet")
+	}
+	return nil
+}
+
+// executeFingerprint is equal for requests that make targets do the same work.
+func executeFingerprint(request *callerapi.ExecuteRequest) uint64 {
+	return xxhash.Sum64String("execute\x00" + request.Service + "\x00" + request.Operation + "\x00" + request.Payload)
+}
+
+func executeReply(answer *peerpb.ExecuteAnswer) (*callerapi.ExecuteAnswer, error) {
+	switch answer.Outcome {
+	case peerpb.Outcome_OUTCOME_RAN:
+		return &callerapi.ExecuteAnswer{RequestID: answer.RequestId, Result: string(answer.Result)}, nil
+	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		return nil, notRun("execute", refusalCode(answer.Failure), "the request was not run: "+answer.Failure.String())
+	default:
+		return nil, &Error{
+			Op: "execute", Kind: callerapi.ErrorCodeOutcomeUnknown, Outcome: callerapi.OutcomeUnknown,
+			Message: "the request may have run; ask again with the same ticket or key",
+		}
+	}
+}
+
+func refusalCode(failure peerpb.FailureKind) callerapi.ErrorCode {
+	switch failure {
+	case peerpb.FailureKind_FAILURE_OVERLOADED, peerpb.FailureKind_FAILURE_DEADLINE:
+		return callerapi.ErrorCodeOverloaded
+	case peerpb.FailureKind_FAILURE_QUARANTINED:
+		return callerapi.ErrorCodeQuarantined
+	default:
+		return callerapi.ErrorCodeUnavailable
+	}
+}
+
+// executeError turns an issuer's error into the answer that the caller gets.
+func executeError(err error) error {
+	var failure *issuer.Error
+	if !errors.As(err, &failure) {
+		return err
+	}
+	return &Error{Op: failure.Op, Kind: failure.Kind, Outcome: callerOutcome(failure.Outcome), Message: failure.Message}
+}
+
+func callerOutcome(outcome peerpb.Outcome) callerapi.Outcome {
+	switch outcome {
+	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		return callerapi.OutcomeNotRun
+	case peerpb.Outcome_OUTCOME_RAN:
+		return callerapi.OutcomeRan
+	default:
+		return callerapi.OutcomeUnknown
+	}
 }
--- a/gateway/responder/responder.go
+++ b/gateway/responder/responder.go
@@ -16,6 +16,7 @@
 	"jackdawcart.org/core/scatterer"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
+	"jackdawcart.org/gateway/issuer"
 )
 
 // Control is what the gateway knows from its relays.
@@ -30,11 +31,14 @@
 	Table   *planner.Table
 	Engine  *scatterer.Engine
 	Control Control
+	Issuer  *issuer.Issuer
 	Tracer  *tracer.Tracer
 	Metrics tally.Scope
 	Log     *zap.Logger
 	// MaxQueries bounds the queries that run at once.
 	MaxQueries int
+	// TicketExpiry is the life of a ticket, as told to callers.
+	TicketExpiry time.Duration
 }
 
 // Responder handles the operations of the callers' interface.
--- a/gateway/runner/run.go
+++ b/gateway/runner/run.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/acceptor"
 	"jackdawcart.org/core/administrator"
 	"jackdawcart.org/core/callerapi"
 	"jackdawcart.org/core/loader"
@@ -20,9 +21,12 @@
 	"jackdawcart.org/core/meter"
 	"jackdawcart.org/core/planner"
 	"jackdawcart.org/core/scatterer"
+	"jackdawcart.org/core/ticketer"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/gateway/courier"
+	"jackdawcart.org/gateway/executor"
+	"jackdawcart.org/gateway/issuer"
 	"jackdawcart.org/gateway/responder"
 	"jackdawcart.org/gateway/subscriber"
 )
@@ -32,6 +36,13 @@
 // maxHeaderBytes bounds the headers of a caller's request.
 const maxHeaderBytes = 16 << 10
 
+const (
+	// ticketRetention is how long an outcome is remembered after its ticket has
+	// expired, so that a late repetition still gets it.
+	ticketRetention = 10 * time.Minute
+	maxResultBytes  = 16 << 20
+)
+
 // Run runs a gateway until the context ends, then stops it gracefully.
 func Run(ctx context.Context, settings *loader.Settings, version string) error {
 	log := logger.New(settings.LogLevel, process, settings.Node)
@@ -55,10 +66,22 @@
 	subscribe := subscriber.New(peers, table, timers, log)
 	carry := courier.New(peers, subscribe, log)
 	engine := scatterer.New(scatterer.DefaultConfig(settings.FailureDomain), timers, table, carry)
-	carry.SetReceiver(receiver{engine})
+	execute := executor.New(timers, table, carry, settings.FailureDomain)
+	carry.SetReceiver(receiver{engine, execute})
+	issue, err := issuer.New(issuer.Config{
+		Table: ticketer.Config{
+			Node: settings.Node, Incarnation: hello.Incarnation, Lifetime: settings.TicketExpiry,
+			Retention: ticketRetention, MaxTickets: settings.MaxTickets, MaxResultBytes: maxResultBytes,
+		},
+		Keys: keys, Timers: timers, Runner: execute, Directory: subscribe, Sessions: peers, Log: log,
+	})
+	if err != nil {
+		return err
+	}
 	subscribe.OnRelay(carry.Warm)
 	respond := responder.New(responder.Config{
 		Timers: timers, Table: table, Engine: engine, Control: subscribe, Tracer: spans,
+		Issuer: issue, TicketExpiry: settings.TicketExpiry,
 		Metrics: metrics.Scope, Log: log, MaxQueries: settings.MaxQueries,
 	})
 	admin := administrator.New(func() (bool, string) { return ready(subscribe, respond) }, metrics.Handler)
@@ -74,9 +97,18 @@
 	for _, addr := range relayAddresses(settings) {
 		go subscribe.Follow(work, addr)
 	}
+	listener, err := acceptor.Listen(ctx, settings.SessionAddress)
+	if err != nil {
+		return err
+	}
+	accept := acceptor.New(keys, hello, issue.Serve, log)
+	go accept.Run(work, listener)
+	go issue.Run(work)
 	log.Info("gateway started", zap.String("version", version), zap.Stringer("address", settings.CallerAddress))
 	<-ctx.Done()
 	drain(settings, respond, server, log)
+	handOver(ctx, settings, issue)
+	stop()
 	carry.Close()
 	peers.Close()
 	log.Info("gateway stopped")
@@ -137,16 +169,27 @@
 	respond.Stop()
 }
 
-// receiver hands the answers of relays to the engine.
+// handOver ends the tickets of this gateway.
+func handOver(ctx context.Context, settings *loader.Settings, issue *issuer.Issuer) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settings.DrainTime)
+	defer cancel()
+	issue.Stop(ctx)
+}
+
+// receiver hands the answers of relays to the parts that wait for them.
 type receiver struct {
-	engine *scatterer.Engine
+	engine   *scatterer.Engine
+	executor *executor.Executor
 }
 
 // Deliver hands on the answer of a sub-request.
 func (r receiver) Deliver(answer *peerpb.SubAnswer) { r.engine.Deliver(answer) }
 
 // DeliverExecute hands on the answer of a non-idempotent request.
-func (r receiver) DeliverExecute(*peerpb.ExecuteAnswer) {}
+func (r receiver) DeliverExecute(answer *peerpb.ExecuteAnswer) { r.executor.Deliver(answer) }
 
 // Lost fails what was in flight at a relay.
-func (r receiver) Lost(relay string) { r.engine.LostRelay(relay) }
+func (r receiver) Lost(relay string) {
+	r.engine.LostRelay(relay)
+	r.executor.LostRelay(relay)
+}
--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -189,6 +190,32 @@
 	return addr, err == nil
 }
 
+// Gateway returns the incarnation and the session address of a node's gateway.
+func (s *Subscriber) Gateway(node string) (incarnation uint64, addr netip.AddrPort, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[node]
+	if !ok || m.GatewayAddress == "" {
+		return 0, netip.AddrPort{}, false
+	}
+	addr, err := netip.ParseAddrPort(m.GatewayAddress)
+	return m.GatewayIncarnation, addr, err == nil
+}
+
+// Gateways returns the nodes with a live gateway.
+func (s *Subscriber) Gateways() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var nodes []string
+	for _, m := range s.members {
+		if m.GatewayAddress != "" && m.State == peerpb.MemberState_MEMBER_STATE_ALIVE {
+			nodes = append(nodes, m.Node)
+		}
+	}
+	slices.Sort(nodes)
+	return nodes
+}
+
 // Members returns what is known of the nodes.
 func (s *Subscriber) Members() []*peerpb.Member {
 	s.mu.Lock()
--- a/relay/runner/run.go
+++ b/relay/runner/run.go
@@ -18,7 +18,7 @@
 	"jackdawcart.org/core/meter"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
-	"jackdawcart.org/relay/acceptor"
+	"jackdawcart.org/core/acceptor"
 	"jackdawcart.org/relay/connector"
 	"jackdawcart.org/relay/controller"
 	"jackdawcart.org/relay/forwarder"
