Add jackdawctl and the example deployments

Edits are compare-and-swap against the revision that the operator saw. The replaced document goes into history/<service> before the new one is written, so the history has no gap however an edit ends, and an edit whose answer was lost can be found there if it has been replaced since. An edit costs two reads and two writes of the store.

The examples are written by "jackdawctl examples"; a test compares the committed files with its output and validates each.

--- /dev/null
+++ b/jackdawctl/commander/edits.go
@@ -0,0 +1,261 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/urfave/cli/v3"
+
+	"jackdawcart.org/core/parser"
+	"jackdawcart.org/jackdawctl/editor"
+)
+
+const (
+	flagYes = "yes"
+	flagTo  = "to"
+)
+
+var headerLine = regexp.MustCompile(`^` + header + `(\S+) at revision (\d+)\n`)
+
+func (p *program) editCommands() []*cli.Command {
+	return []*cli.Command{
+		{
+			Name: "apply", Usage: "write documents into the store", ArgsUsage: "FILE...",
+			Description: "Writes a document only if the store still has the revision that the operator saw.\n" +
+				"That is the revision of --revision, or of the first line that the show command\n" +
+				"writes, or the one whose differences are shown for confirmation.",
+			Flags: editFlags(), Action: p.apply,
+		},
+		{
+			Name: "roll-back", Usage: "write a former revision of a document again", ArgsUsage: "SERVICE",
+			Flags: append(editFlags(), &cli.Uint64Flag{
+				Name: flagTo, Usage: "former revision, see the history command (required)",
+			}),
+			Action: p.rollBack,
+		},
+		{
+			Name: "delete", Usage: "replace the document of a service by a tombstone", ArgsUsage: "SERVICE",
+			Flags: editFlags(), Action: p.delete,
+		},
+	}
+}
+
+func editFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.Uint64Flag{Name: flagRevision, Usage: "revision that you saw; 0 for a new service"},
+		&cli.BoolFlag{Name: flagYes, Usage: "don't ask for confirmation"},
+	}
+}
+
+// edit is one document to be written.
+type edit struct {
+	service  string
+	text     []byte
+	document *parser.Document
+	// seen is the revision that the operator saw, if isSeen is set.
+	seen   uint64
+	isSeen bool
+}
+
+// result is the outcome of one edit.
+type result struct {
+	Service  string         `json:"service"`
+	Outcome  string         `json:"outcome"`
+	Revision uint64         `json:"revision"`
+	Edit     string         `json:"edit,omitempty"`
+	Changes  parser.Changes `json:"changes"`
+}
+
+// Outcomes of an edit.
+const (
+	outcomeWritten   = "written"
+	outcomeUnchanged = "unchanged"
+)
+
+// apply checks all files before it writes the first, and stops at the first
+// failure.
+func (p *program) apply(ctx context.Context, cmd *cli.Command) error {
+	if !cmd.Args().Present() {
+		return usage("name the files to apply")
+	}
+	if cmd.IsSet(flagRevision) && cmd.Args().Len() > 1 {
+		return usage("--%s goes with one file", flagRevision)
+	}
+	var edits []*edit
+	var mistakes []string
+	code := ExitOK
+	for _, path := range cmd.Args().Slice() {
+		change, err := p.readEdit(path)
+		if err != nil {
+			mistakes = append(mistakes, err.Error())
+			code = max(code, exitCode(err))
+			continue
+		}
+		edits = append(edits, change)
+	}
+	if len(mistakes) > 0 {
+		return withCode(merry.New(strings.Join(mistakes, "\n")), code)
+	}
+	return p.write(ctx, cmd, edits)
+}
+
+func (p *program) readEdit(path string) (*edit, error) {
+	text, err := p.read(path)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := parser.ParseFile(path, text)
+	if err != nil {
+		return nil, err
+	}
+	change := &edit{service: doc.Service, text: text, document: doc}
+	match := headerLine.FindSubmatch(text)
+	if match == nil {
+		return change, nil
+	}
+	change.text = text[len(match[0]):]
+	if string(match[1]) != doc.Service {
+		return change, nil
+	}
+	change.seen, err = strconv.ParseUint(string(match[2]), 10, 64)
+	change.isSeen = err == nil
+	return change, nil
+}
+
+func (p *program) rollBack(ctx context.Context, cmd *cli.Command) error {
+	service, err := serviceArgument(cmd)
+	if err != nil {
+		return err
+	}
+	if !cmd.IsSet(flagTo) {
+		return usage("--%s is needed", flagTo)
+	}
+	e, err := p.editor(cmd)
+	if err != nil {
+		return err
+	}
+	former, err := e.Revision(ctx, service, cmd.Uint64(flagTo))
+	if err != nil {
+		return err
+	}
+	if former.Document == nil {
+		return withCode(merry.Errorf("revision %d of %s is not valid any more", former.Revision, service), ExitInvalid)
+	}
+	return p.write(ctx, cmd, []*edit{{service: service, text: []byte(former.Text), document: former.Document}})
+}
+
+func (p *program) delete(ctx context.Context, cmd *cli.Command) error {
+	service, err := serviceArgument(cmd)
+	if err != nil {
+		return err
+	}
+	doc := &parser.Document{Service: service, Deleted: true}
+	text, err := doc.Encode()
+	if err != nil {
+		return err
+	}
+	return p.write(ctx, cmd, []*edit{{service: service, text: text, document: doc}})
+}
+
+// write writes edits in their order and prints the outcomes, also those
+// before a failure.
+func (p *program) write(ctx context.Context, cmd *cli.Command, edits []*edit) error {
+	e, err := p.editor(cmd)
+	if err != nil {
+		return err
+	}
+	results := []result{}
+	var failure error
+	for _, change := range edits {
+		if cmd.IsSet(flagRevision) {
+			change.seen, change.isSeen = cmd.Uint64(flagRevision), true
+		}
+		done, err := p.writeOne(ctx, cmd, e, change)
+		if err != nil {
+			failure = err
+			break
+		}
+		results = append(results, done)
+	}
+	err = p.print(cmd, results, func() {
+		for _, r := range results {
+			fmt.Fprintf(p.out, "%s: %s, revision %d\n", r.Service, r.Outcome, r.Revision)
+		}
+	})
+	if failure != nil {
+		return failure
+	}
+	return err
+}
+
+func (p *program) writeOne(ctx context.Context, cmd *cli.Command, e *editor.Editor, change *edit) (result, error) {
+	current, err := e.Read(ctx, change.service)
+	if err != nil {
+		return result{}, err
+	}
+	if change.isSeen {
+		if err := e.CheckSeen(ctx, change.seen, current); err != nil {
+			return result{}, err
+		}
+	}
+	if change.document.Deleted && current.Revision == 0 {
+		return result{}, notFound(change.service)
+	}
+	changes, err := parser.Diff(current.Document, change.document)
+	if err != nil {
+		return result{}, err
+	}
+	if changes == nil {
+		changes = parser.Changes{}
+	}
+	done := result{Service: change.service, Outcome: outcomeUnchanged, Revision: current.Revision, Changes: changes}
+	if len(changes) == 0 && sameText(current.Text, change.text) {
+		return done, nil
+	}
+	if !change.isSeen && !cmd.Bool(flagYes) {
+		if err := p.confirm(change.service, current.Revision, changes); err != nil {
+			return result{}, err
+		}
+	}
+	written, err := e.Write(ctx, current, change.text)
+	if err != nil {
+		return result{}, err
+	}
+	done.Outcome, done.Revision = outcomeWritten, written.Revision
+	if written.Document != nil {
+		done.Edit = written.Document.Edit
+	}
+	return done, nil
+}
+
+// sameText compares two texts with their comments, apart from the edit.
+func sameText(current string, text []byte) bool {
+	a, err := parser.Stamp([]byte(current), "")
+	if err != nil {
+		return false
+	}
+	b, err := parser.Stamp(text, "")
+	return err == nil && bytes.Equal(a, b)
+}
+
+// confirm shows the changes and asks the operator.
+func (p *program) confirm(service string, revision uint64, changes parser.Changes) error {
+	shown := changes.String()
+	if len(changes) == 0 {
+		shown = "(comments only)"
+	}
+	fmt.Fprintf(p.errors, "changes of %s from revision %d:\n%s\nwrite? [y/N] ", service, revision, shown)
+	answer, err := p.in.ReadString('\n')
+	if err != nil && answer == "" {
+		return withCode(merry.Errorf("%s: not confirmed; nothing was written", service), ExitDeclined)
+	}
+	if answer = strings.ToLower(strings.TrimSpace(answer)); answer != "y" && answer != "yes" {
+		return withCode(merry.Errorf("%s: declined; nothing was written", service), ExitDeclined)
+	}
+	return nil
+}
--- /dev/null
+++ b/jackdawctl/commander/run_test.go
@@ -0,0 +1,136 @@
+package commander_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"jackdawcart.org/jackdawctl/commander"
+)
+
+// platform is a fake of the platform's key-value service.
+type platform struct {
+	mu       sync.Mutex
+	revision uint64
+	entries  map[string]entry
+	// dropAnswers makes it close the connection after each write.
+	dropAnswers bool
+}
+
+type entry struct {
+	Key      string `json:"key"`
+	Value    string `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key, isKey := strings.CutPrefix(r.URL.Path, "/v1/kv/")
+	current, exists := p.entries[key]
+	switch {
+	case !isKey:
+		all := []entry{}
+		for _, e := range p.entries {
+			if strings.HasPrefix(e.Key, r.URL.Query().Get("prefix")) {
+				all = append(all, e)
+			}
+		}
+		answer(w, http.StatusOK, map[string]any{"revision": p.revision, "entries": all})
+	case r.Method == http.MethodPut:
+		p.put(w, r, key, current)
+	case !exists:
+		answer(w, http.StatusNotFound, map[string]string{"code": "not-found"})
+	default:
+		answer(w, http.StatusOK, current)
+	}
+}
+
+func (p *platform) put(w http.ResponseWriter, r *http.Request, key string, current entry) {
+	var request struct {
+		Value    string `json:"value"`
+		Expected uint64 `json:"expected-revision"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		answer(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if request.Expected != current.Revision {
+		answer(w, http.StatusConflict, current)
+		return
+	}
+	p.revision++
+	p.entries[key] = entry{Key: key, Value: request.Value, Revision: p.revision}
+	if p.dropAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, http.StatusOK, p.entries[key])
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// session runs command lines against one platform.
+type session struct {
+	t        *testing.T
+	platform *platform
+	address  string
+	in       string
+}
+
+func newSession(t *testing.T) *session {
+	p := &platform{entries: make(map[string]entry)}
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return &session{t: t, platform: p, address: server.Listener.Addr().String()}
+}
+
+// run fails the test unless the command ends with the code, and returns what
+// it wrote to both streams.
+func (s *session) run(code int, args ...string) (out, errs string) {
+	s.t.Helper()
+	var stdout, stderr bytes.Buffer
+	args = append([]string{"jackdawctl", "--platform", s.address, "--operator", "marta"}, args...)
+	got := commander.Run(s.t.Context(), args, strings.NewReader(s.in), &stdout, &stderr)
+	if got != code {
+		s.t.Fatalf("%v: got code %d, want %d\n%s%s", args[5:], got, code, &stdout, &stderr)
+	}
+	return stdout.String(), stderr.String()
+}
+
+func (s *session) file(text string) string {
+	s.t.Helper()
+	path := filepath.Join(s.t.TempDir(), "document.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+func document(deadline string) string {
+	return fmt.Sprintf(`{
+  // The registry of the field inspectors.
+  "service": "agenda-01", "team": "agenda",
+  "sets": [{"name": "old", "targets": [{"name": "a", "address": "127.0.0.1:8301",
+    "failure-domain": "rosario", "slots": 2, "connections": 25, "connect-time": "6ms"}]}],
+  "answering": {"lead": "old", "deadline": %q, "minimum-coverage": 1, "priority": "low", "hedge-budget": 0},
+}`, deadline)
+}
+
+func wantText(t *testing.T, text string, parts ...string) {
+	t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			t.Errorf("%q is not in:\n%s", part, text)
+		}
+	}
+}
--- /dev/null
+++ b/jackdawctl/generator/deployment.go
@@ -0,0 +1,120 @@
+// Package generator writes the example settings and service documents of the
+// deployments that the design page describes. Every process and target has a
+// loopback address of its own, so that a deployment runs on one machine.
+package generator
+
+import (
+	"time"
+
+	"jackdawcart.org/core/parser"
+)
+
+// Sets of a service that moves from an old to a new system.
+const (
+	setOld = "old"
+	setNew = "new"
+)
+
+// deployment is one example directory.
+type deployment struct {
+	name    string
+	domains []string
+	// nodes is the number of nodes in each failure domain.
+	nodes        int
+	platformPort uint16
+	nodePort     uint16
+	targetPort   uint16
+	kinds        []kind
+}
+
+// kind is a group of services of the same shape.
+type kind struct {
+	name string
+	// services is the number of services, or 0 for a single one that has the
+	// name of the kind.
+	services    int
+	targets     int
+	slots       int
+	connections int
+	connectTime time.Duration
+	// moves says whether the kind has a new set beside the old one.
+	moves     bool
+	answering parser.Answering
+}
+
+func answering(deadline time.Duration, coverage float64, priority string, hedges float64) parser.Answering {
+	return parser.Answering{
+		Lead:            setOld,
+		Deadline:        parser.Duration(deadline),
+		MinimumCoverage: coverage,
+		Priority:        priority,
+		HedgeBudget:     hedges,
+	}
+}
+
+const (
+	// searchDeadline is the bound for 99 in 100 answers.
+	searchDeadline  = 130 * time.Millisecond
+	executeDeadline = 2 * time.Second
+	noHedges        = 0
+	fewHedges       = 0.03
+	mostHedges      = 0.05
+)
+
+// deployments are at the sizes of today. Kinds that run non-idempotent
+// requests have one set and no hedges.
+var deployments = []deployment{
+	{
+		name: "litoral", domains: []string{"rosario", "santa-fe", "parana"}, nodes: 3,
+		platformPort: 8090, nodePort: 8100, targetPort: 8300,
+		kinds: []kind{
+			{
+				name: "registro-campo", services: 10, targets: 3, slots: 2, connections: 25, connectTime: 6 * time.Millisecond,
+				moves: true, answering: answering(searchDeadline, 0.9, parser.PriorityHigh, mostHedges),
+			},
+			{
+				name: "agenda", services: 15, targets: 3, slots: 2, connections: 25, connectTime: 6 * time.Millisecond,
+				moves: true, answering: answering(searchDeadline, 0.9, parser.PriorityNormal, mostHedges),
+			},
+			{
+				name: "certificados", targets: 5, slots: 4, connections: 110, connectTime: time.Millisecond,
+				answering: answering(executeDeadline, 1, parser.PriorityHigh, noHedges),
+			},
+			{
+				name: "municipios", targets: 3, slots: 4, connections: 110, connectTime: time.Millisecond,
+				moves: true, answering: answering(searchDeadline, 0.9, parser.PriorityLow, fewHedges),
+			},
+		},
+	},
+	{
+		name: "nz-central", domains: []string{"nzc-ruahine", "nzc-tararua", "nzc-rimutaka"}, nodes: 3,
+		platformPort: 9090, nodePort: 9100, targetPort: 9300,
+		kinds: []kind{
+			{
+				name: "trackfinder", services: 10, targets: 3, slots: 3, connections: 30, connectTime: 6 * time.Millisecond,
+				moves: true, answering: answering(searchDeadline, 0.99, parser.PriorityNormal, fewHedges),
+			},
+			{
+				name: "hutbook", services: 15, targets: 3, slots: 3, connections: 30, connectTime: 6 * time.Millisecond,
+				moves: true, answering: answering(searchDeadline, 0.99, parser.PriorityHigh, fewHedges),
+			},
+			{
+				name: "sheetshelf", targets: 10, slots: 4, connections: 45, connectTime: time.Millisecond,
+				moves: true, answering: answering(searchDeadline, 0.99, parser.PriorityNormal, fewHedges),
+			},
+			{
+				name: "memberroll", targets: 5, slots: 4, connections: 45, connectTime: time.Millisecond,
+				answering: answering(executeDeadline, 1, parser.PriorityLow, noHedges),
+			},
+		},
+	},
+	{
+		// Four shards with three replicas; each target holds one shard.
+		name: "demo", domains: []string{"north", "east", "south"}, nodes: 1,
+		platformPort: 7090, nodePort: 7100, targetPort: 7300,
+		kinds: []kind{{
+			name: "library", targets: 12, slots: 4, connections: 45, connectTime: time.Millisecond,
+			answering: answering(searchDeadline, 0.9, parser.PriorityNormal, mostHedges),
+		}},
+	},
+}
