--- a/core/adminapi/adminapi.go
+++ b/core/adminapi/adminapi.go
@@ -35,6 +35,10 @@
 	At time.Time `json:"at"`
 }
 
+// CodeNotServed is the code of a failure, with status 404, of a process that
+// does not have the view, such as a relay that is asked to explain a query.
+const CodeNotServed = "not-served"
+
 // Failure is the body of an answer with an error status.
 type Failure struct {
 	Code    string `json:"code"`
--- a/jackdawctl/commander/documents_test.go
+++ b/jackdawctl/commander/documents_test.go
@@ -47,6 +47,10 @@
 	_, errs := s.run(commander.ExitConflict, "apply", "--revision", "1", s.file(document("300ms")))
 	wantText(t, errs, "nothing was written", `~ answering.deadline: "100ms" -> "200ms"`)
 	wantText(t, s.platform.entries["services/agenda-01"].Value, "200ms")
+	_, errs = s.run(commander.ExitConflict, "--output", "json", "apply", "--revision", "1", s.file(document("300ms")))
+	wantText(t, errs, `"exit-code":4`, `"old":"100ms","new":"200ms"`)
+	_, errs = s.run(commander.ExitConflict, "apply", "--revision", "99", s.file(document("300ms")))
+	wantText(t, errs, "not in the history")
 }
 
 // Without a revision, nothing may be written unless the operator confirms.
--- a/jackdawctl/commander/nodes.go
+++ b/jackdawctl/commander/nodes.go
@@ -69,7 +69,7 @@
 func viewFailures[T any](views []viewer.View[T]) []string {
 	var failures []string
 	for i := range views {
-		if views[i].View == nil {
+		if views[i].View == nil && !views[i].NotServed {
 			failures = append(failures, fmt.Sprintf("%s: %s", views[i].Address, views[i].Failure))
 		}
 	}
--- a/jackdawctl/commander/nodes_test.go
+++ b/jackdawctl/commander/nodes_test.go
@@ -71,6 +71,18 @@
 	s.run(commander.ExitNotFound, "--node", node, "explain", "--query-id", "lost")
 }
 
+// A relay has no view of a query; that must not count as a node that is down.
+func TestNotServed(t *testing.T) {
+	gateway := newNode(t, map[string]any{adminapi.PathExplain: adminapi.Explain{Set: "new"}})
+	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusNotFound, adminapi.Failure{Code: adminapi.CodeNotServed})
+	}))
+	defer relay.Close()
+	nodes := gateway + "," + relay.Listener.Addr().String()
+	s := newSession(t)
+	s.run(commander.ExitOK, "--node", nodes, "explain", "--service", "agenda-01", "--caller", "brigade-7")
+}
+
 // A view that lacks nodes must not pass for a whole one.
 func TestNodesPartial(t *testing.T) {
 	closed := httptest.NewServer(nil)
--- a/jackdawctl/commander/run.go
+++ b/jackdawctl/commander/run.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"jackdawcart.org/core/parser"
+	"jackdawcart.org/core/validator"
 	"jackdawcart.org/jackdawctl/editor"
 	"jackdawcart.org/jackdawctl/storer"
 	"jackdawcart.org/jackdawctl/viewer"
@@ -45,7 +48,7 @@
 	root := p.command()
 	err := root.Run(ctx, args)
 	if err != nil {
-		p.report(err)
+		p.report(root, err)
 	}
 	return exitCode(err)
 }
@@ -119,20 +122,43 @@
 	return info.Main.Version
 }
 
+// failure is an error in JSON.
+type failure struct {
+	Message  string             `json:"message"`
+	ExitCode int                `json:"exit-code"`
+	Problems validator.Problems `json:"problems,omitempty"`
+	// Changes are those of the edit that came first.
+	Changes parser.Changes `json:"changes,omitempty"`
+}
+
 // report writes an error, and what changed for an edit that lost a race.
-func (p *program) report(err error) {
-	fmt.Fprintf(p.errors, "jackdawctl: %v\n", err)
+func (p *program) report(cmd *cli.Command, err error) {
 	var conflict *editor.Conflict
-	if !errors.As(err, &conflict) {
+	isConflict := errors.As(err, &conflict)
+	if cmd.String(flagOutput) == outputJSON {
+		f := failure{Message: err.Error(), ExitCode: exitCode(err)}
+		errors.As(err, &f.Problems)
+		if isConflict {
+			f.Changes = conflict.Changes
+		}
+		_ = json.NewEncoder(p.errors).Encode(f) // as fmt.Fprintf on the same stream
 		return
 	}
-	if len(conflict.Changes) == 0 {
-		fmt.Fprintf(p.errors, "the document at revision %d is no longer known; run \"jackdawctl show %s\"\n",
-			conflict.Seen, conflict.Service)
-		return
+	fmt.Fprintf(p.errors, "jackdawctl: %v\n", err)
+	if isConflict {
+		fmt.Fprintln(p.errors, conflictText(conflict))
+	}
+}
+
+func conflictText(conflict *editor.Conflict) string {
+	if conflict.Unknown {
+		return fmt.Sprintf("revision %d is not in the history; run \"jackdawctl show %s\"", conflict.Seen, conflict.Service)
+	}
+	changes := conflict.Changes.String()
+	if changes == "" {
+		changes = "(comments only)"
 	}
-	fmt.Fprintf(p.errors, "changes from revision %d to %d:\n%s\n",
-		conflict.Seen, conflict.Current.Revision, conflict.Changes)
+	return fmt.Sprintf("changes from revision %d to %d:\n%s", conflict.Seen, conflict.Current.Revision, changes)
 }
 
 func (p *program) editor(cmd *cli.Command) (*editor.Editor, error) {
--- a/jackdawctl/editor/editor.go
+++ b/jackdawctl/editor/editor.go
@@ -209,6 +209,7 @@
 func newConflict(seen, current *Stored) *Conflict {
 	conflict := &Conflict{Service: seen.Service, Seen: seen.Revision, Current: current}
 	if seen.Document == nil && seen.Revision != 0 {
+		conflict.Unknown = true
 		return conflict
 	}
 	if changes, err := parser.Diff(seen.Document, current.Document); err == nil {
--- a/jackdawctl/editor/error.go
+++ b/jackdawctl/editor/error.go
@@ -42,9 +42,11 @@
 	// Seen is the revision that the operator saw.
 	Seen    uint64
 	Current *Stored
-	// Changes lead from the revision seen to the current one. They are absent
-	// when the revision seen is no longer in the history.
+	// Changes lead from the revision seen to the current one.
 	Changes parser.Changes
+	// Unknown says that the revision seen is not in the history, so that there
+	// are no changes to show.
+	Unknown bool
 }
 
 // Error names the revisions and the edit that won.
--- a/jackdawctl/storer/client.go
+++ b/jackdawctl/storer/client.go
@@ -92,14 +92,25 @@
 	if status != http.StatusConflict {
 		return decode[Entry]("put", status, body)
 	}
-	current, err := decode[Entry]("put", http.StatusOK, body)
-	if err != nil {
-		return Entry{}, err
-	}
+	current := c.current(ctx, key, body)
 	err = fmt.Errorf("%s has revision %d, expected %d", key, current.Revision, expected)
 	return Entry{}, &Error{Op: "put", Kind: KindConflict, Current: current, Err: err}
 }
 
+// current returns the entry in the body of a conflict, or reads it if the body
+// has none, as for a key that does not exist.
+func (c *Client) current(ctx context.Context, key string, body []byte) Entry {
+	var entry Entry
+	if err := json.Unmarshal(body, &entry); err == nil && entry.Key == key && entry.Revision != 0 {
+		return entry
+	}
+	entry, err := c.Get(ctx, key)
+	if err != nil {
+		return Entry{Key: key}
+	}
+	return entry
+}
+
 func (c *Client) send(ctx context.Context, op, method, path string, body []byte) (int, []byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
--- a/jackdawctl/viewer/client.go
+++ b/jackdawctl/viewer/client.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -33,6 +34,8 @@
 	KindUnreachable Kind = "unreachable"
 	KindRefused     Kind = "refused"
 	KindMalformed   Kind = "malformed"
+	// KindNotServed says that the process does not have the view.
+	KindNotServed Kind = "not-served"
 )
 
 // Error is the error type of this package.
@@ -55,6 +58,8 @@
 	Address netip.AddrPort `json:"address"`
 	View    *T             `json:"view,omitempty"`
 	Failure string         `json:"failure,omitempty"`
+	// NotServed says that the process does not have this view.
+	NotServed bool `json:"not-served,omitempty"`
 }
 
 // Client reads views of processes.
@@ -86,6 +91,11 @@
 func ask[T any](ctx context.Context, c *Client, address netip.AddrPort, path string, query url.Values) View[T] {
 	view := View[T]{Address: address}
 	body, err := c.get(ctx, address, path, query)
+	var failure *Error
+	if errors.As(err, &failure) && failure.Kind == KindNotServed {
+		view.NotServed = true
+		return view
+	}
 	if err != nil {
 		view.Failure = err.Error()
 		return view
@@ -118,17 +128,23 @@
 		return nil, &Error{Op: path, Kind: KindMalformed, Err: fmt.Errorf("longer than %d bytes", maxAnswerBytes)}
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, &Error{Op: path, Kind: KindRefused, Err: refusal(response.StatusCode, body)}
+		return nil, refusal(path, response.StatusCode, body)
 	}
 	return body, nil
 }
 
-func refusal(status int, body []byte) error {
+func refusal(path string, status int, body []byte) error {
+	refused := &Error{Op: path, Kind: KindRefused}
 	var failure adminapi.Failure
 	if err := json.Unmarshal(body, &failure); err != nil || failure.Code == "" {
-		return fmt.Errorf("status %d", status)
+		refused.Err = fmt.Errorf("status %d", status)
+		return refused
+	}
+	if failure.Code == adminapi.CodeNotServed {
+		refused.Kind = KindNotServed
 	}
-	return fmt.Errorf("status %d: %s: %s", status, failure.Code, failure.Message)
+	refused.Err = fmt.Errorf("status %d: %s: %s", status, failure.Code, failure.Message)
+	return refused
 }
 
 // Discover returns the addresses together with those of all processes that
