--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -65,13 +65,18 @@
 	if move == nil {
 		return doc.Answering.Lead
 	}
-	step := xxhash.Sum64String(doc.Service+"\x00"+caller) % shareSteps
-	if float64(step) < move.Share*shareSteps {
+	if CallerShare(doc.Service, caller) < move.Share {
 		return move.Set
 	}
 	return doc.Answering.Lead
 }
 
+// CallerShare returns the position of a caller in [0, 1) for a service.
+func CallerShare(service, caller string) float64 {
+	step := xxhash.Sum64String(service+"\x00"+caller) % shareSteps
+	return float64(step) / shareSteps
+}
+
 // PlanSet plans a service on the given set: on the newest snapshot of which
 // every shard has a replica, otherwise on the one with the highest coverage.
 func (t *Table) PlanSet(service, set string, gone container.Set[string]) Plan {
--- a/core/planner/table.go
+++ b/core/planner/table.go
@@ -56,6 +56,15 @@
 	return false
 }
 
+// SnapshotIDs returns the snapshots that the replica knows.
+func (r *Replica) SnapshotIDs() []string {
+	ids := make([]string, 0, len(r.snapshots))
+	for _, s := range r.snapshots {
+		ids = append(ids, s.Id)
+	}
+	return ids
+}
+
 // view is an immutable state of the table.
 type view struct {
 	documents map[string]*Service
@@ -66,8 +75,9 @@
 
 // Service is a document in force, or a deleted service without a document.
 type Service struct {
-	Document *parser.Document
-	Revision uint64
+	Document  *parser.Document
+	Revision  uint64
+	AppliedAt time.Time
 }
 
 type targetKey struct{ service, set, target string }
@@ -125,13 +135,13 @@
 
 // Put brings a document into force, unless a newer revision already is.
 func (t *Table) Put(doc *parser.Document, revision uint64, now time.Time) {
-	t.put(doc.Service, &Service{Document: doc, Revision: revision}, now)
+	t.put(doc.Service, &Service{Document: doc, Revision: revision, AppliedAt: now}, now)
 }
 
 // Delete takes a service out of force. Its revision stays known, so that an
 // older document cannot bring the service back.
 func (t *Table) Delete(service string, revision uint64, now time.Time) {
-	t.put(service, &Service{Revision: revision}, now)
+	t.put(service, &Service{Revision: revision, AppliedAt: now}, now)
 }
 
 func (t *Table) put(name string, entry *Service, now time.Time) {
--- /dev/null
+++ b/gateway/reporter/reporter.go
@@ -0,0 +1,218 @@
+// Package reporter shows operators what a gateway knows.
+package reporter
+
+import (
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"jackdawcart.org/core/adminapi"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/parser"
+	"jackdawcart.org/core/planner"
+)
+
+// Control is what the gateway knows from its relays.
+type Control interface {
+	Members() []*peerpb.Member
+	Configuration() (revision uint64, confirmed time.Time)
+	Quarantine() map[uint64]time.Time
+}
+
+// Reporter builds the views of a gateway.
+type Reporter struct {
+	origin  adminapi.Origin
+	control Control
+	table   *planner.Table
+}
+
+// New returns a reporter of the process that origin names.
+func New(origin adminapi.Origin, control Control, table *planner.Table) *Reporter {
+	return &Reporter{origin: origin, control: control, table: table}
+}
+
+func (r *Reporter) at() adminapi.Origin {
+	origin := r.origin
+	origin.At = time.Now()
+	return origin
+}
+
+// Members shows the nodes of the tier.
+func (r *Reporter) Members(*http.Request) any {
+	view := adminapi.Members{Origin: r.at(), Members: []adminapi.Member{}}
+	for _, m := range r.control.Members() {
+		view.Members = append(view.Members, member(m))
+	}
+	return view
+}
+
+func member(m *peerpb.Member) adminapi.Member {
+	view := adminapi.Member{
+		Node:           m.Node,
+		FailureDomain:  m.FailureDomain,
+		State:          stateName(m.State),
+		Incarnation:    m.Incarnation,
+		SessionAddress: address(m.RelayAddress),
+		Gateways:       []adminapi.Gateway{},
+	}
+	if m.GatewayAddress != "" {
+		view.Gateways = append(view.Gateways, adminapi.Gateway{
+			Incarnation: m.GatewayIncarnation, SessionAddress: address(m.GatewayAddress), Ready: true,
+		})
+	}
+	return view
+}
+
+func stateName(state peerpb.MemberState) string {
+	switch state {
+	case peerpb.MemberState_MEMBER_STATE_SUSPECT:
+		return adminapi.MemberSuspect
+	case peerpb.MemberState_MEMBER_STATE_DEAD:
+		return adminapi.MemberDead
+	case peerpb.MemberState_MEMBER_STATE_LEFT:
+		return adminapi.MemberLeft
+	default:
+		return adminapi.MemberAlive
+	}
+}
+
+// address returns the zero value for an address that a peer wrote wrongly.
+func address(text string) netip.AddrPort {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return addr
+}
+
+// Targets shows the targets of all services.
+func (r *Reporter) Targets(*http.Request) any {
+	view := adminapi.Targets{Origin: r.at(), Targets: []adminapi.Target{}}
+	for _, name := range r.table.Services() {
+		entry, ok := r.table.Service(name)
+		if !ok {
+			continue
+		}
+		for _, set := range entry.Document.Sets {
+			for _, replica := range r.table.Replicas(name, set.Name) {
+				view.Targets = append(view.Targets, target(replica))
+			}
+		}
+	}
+	return view
+}
+
+func target(replica *planner.Replica) adminapi.Target {
+	view := adminapi.Target{
+		Service: replica.Service, Set: replica.Set, Name: replica.Target, Address: replica.Address,
+		FailureDomain: replica.FailureDomain, Owners: replica.Owners, Slots: replica.Slots,
+		Snapshots: replica.SnapshotIDs(),
+	}
+	view.State, view.Reason = phaseName(replica)
+	return view
+}
+
+func phaseName(replica *planner.Replica) (state, reason string) {
+	switch replica.Phase {
+	case peerpb.TargetPhase_TARGET_PHASE_SERVING:
+		return adminapi.TargetServing, ""
+	case peerpb.TargetPhase_TARGET_PHASE_STARTING:
+		return adminapi.TargetStarting, "the target says that it starts"
+	case peerpb.TargetPhase_TARGET_PHASE_DRAINING:
+		return adminapi.TargetLeaving, "the target or the platform says that it leaves"
+	default:
+		return adminapi.TargetLost, "no relay reaches the target"
+	}
+}
+
+// Configuration shows the documents in force.
+func (r *Reporter) Configuration(*http.Request) any {
+	revision, confirmed := r.control.Configuration()
+	view := adminapi.Configuration{
+		Origin: r.at(), Revision: revision, NewestHeard: revision,
+		Source: adminapi.SourcePeer, Services: []adminapi.Service{},
+	}
+	if confirmed.IsZero() {
+		view.Source = adminapi.SourceNone
+	} else {
+		view.Age = parser.Duration(time.Since(confirmed))
+	}
+	for _, name := range r.table.Services() {
+		if entry, ok := r.table.Service(name); ok {
+			view.Services = append(view.Services, adminapi.Service{
+				Service: name, Revision: entry.Revision, Edit: entry.Document.Edit, AppliedAt: entry.AppliedAt,
+			})
+		}
+	}
+	return view
+}
+
+// Quarantine shows the requests that are refused because they crash targets.
+func (r *Reporter) Quarantine(*http.Request) any {
+	view := adminapi.Quarantine{Origin: r.at(), Entries: []adminapi.QuarantineEntry{}, Suspects: []adminapi.Suspect{}}
+	for fingerprint, until := range r.control.Quarantine() {
+		view.Entries = append(view.Entries, adminapi.QuarantineEntry{
+			Fingerprint: strconv.FormatUint(fingerprint, 16), LostTargets: []string{}, Until: until,
+		})
+	}
+	return view
+}
+
+// Explain shows how a query of one service would be answered.
+func (r *Reporter) Explain(request *http.Request) any {
+	service := request.URL.Query().Get(adminapi.ParameterService)
+	caller := request.URL.Query().Get(adminapi.ParameterCaller)
+	view := adminapi.Explain{
+		Origin: r.at(), Service: service, Caller: caller,
+		Snapshots: []adminapi.SnapshotChoice{}, Shards: []adminapi.ShardChoice{},
+	}
+	entry, ok := r.table.Service(service)
+	if !ok {
+		view.SetReason = "no service of this name is in force"
+		return view
+	}
+	plan := r.table.PlanService(entry, caller, nil)
+	answering := entry.Document.Answering
+	view.Revision = entry.Revision
+	view.CallerShare = planner.CallerShare(service, caller)
+	view.Set, view.SetReason = plan.Set, setReason(entry.Document, plan.Set)
+	view.Deadline, view.Priority, view.HedgeBudget = answering.Deadline, answering.Priority, answering.HedgeBudget
+	view.Admitted, view.Coverage = true, plan.Coverage()
+	if plan.Snapshot != "" {
+		view.Snapshots = append(view.Snapshots, adminapi.SnapshotChoice{
+			Snapshot: plan.Snapshot, Sequence: plan.Sequence, Coverage: plan.Coverage(), Chosen: true,
+		})
+	}
+	for _, shard := range plan.Shards {
+		view.Shards = append(view.Shards, shardChoice(shard))
+	}
+	return view
+}
+
+func setReason(doc *parser.Document, set string) string {
+	switch {
+	case doc.Answering.Move != nil && doc.Answering.Move.Set == set:
+		return "the caller is among the share that moves"
+	case doc.Answering.Lead == set:
+		return "the set leads"
+	default:
+		return "the chosen set has no target; this one is the fallback"
+	}
+}
+
+func shardChoice(shard planner.ShardPlan) adminapi.ShardChoice {
+	choice := adminapi.ShardChoice{
+		Shard: shard.Shard.Name, Weight: float64(shard.Shard.Weight), Replicas: []adminapi.ReplicaChoice{},
+	}
+	for _, replica := range shard.Replicas {
+		relay := ""
+		if len(replica.Owners) > 0 {
+			relay = replica.Owners[0]
+		}
+		choice.Replicas = append(choice.Replicas, adminapi.ReplicaChoice{
+			Target: replica.Target, FailureDomain: replica.FailureDomain, Relay: relay, Usable: true,
+		})
+	}
+	return choice
+}
--- a/gateway/runner/run.go
+++ b/gateway/runner/run.go
@@ -13,6 +13,7 @@
 
 	"jackdawcart.org/core/acceptor"
 	"jackdawcart.org/core/administrator"
+	"jackdawcart.org/core/adminapi"
 	"jackdawcart.org/core/callerapi"
 	"jackdawcart.org/core/loader"
 	"jackdawcart.org/core/logger"
@@ -27,6 +28,7 @@
 	"jackdawcart.org/gateway/courier"
 	"jackdawcart.org/gateway/executor"
 	"jackdawcart.org/gateway/issuer"
+	"jackdawcart.org/gateway/reporter"
 	"jackdawcart.org/gateway/responder"
 	"jackdawcart.org/gateway/subscriber"
 )
@@ -85,6 +87,14 @@
 		Metrics: metrics.Scope, Log: log, MaxQueries: settings.MaxQueries,
 	})
 	admin := administrator.New(func() (bool, string) { return ready(subscribe, respond) }, metrics.Handler)
+	report := reporter.New(adminapi.Origin{
+		Node: settings.Node, Process: process, FailureDomain: settings.FailureDomain,
+	}, subscribe, table)
+	admin.Show("members", report.Members)
+	admin.Show("targets", report.Targets)
+	admin.Show("configuration", report.Configuration)
+	admin.Show("quarantine", report.Quarantine)
+	admin.Show("explain", report.Explain)
 	if err := admin.Listen(ctx, settings.AdminAddress); err != nil {
 		return err
 	}
--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -250,3 +251,10 @@
 	}
 	return true
 }
+
+// Quarantine returns the refused fingerprints and when each is let go.
+func (s *Subscriber) Quarantine() map[uint64]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.quarantine)
+}
