Drive membership, configuration and target ownership in the relay

Relays find each other at seed addresses, keep one control stream per pair, read the store by rank and spread revisions; each relay republishes the target states of its failure domain, so that a subscriber needs one relay.

--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -3,28 +3,12 @@
 package courier
 
 import (
-	"context"
 	"net/netip"
-	"sync"
-	"time"
-
-	"go.uber.org/zap"
 
 	"jackdawcart.org/core/messenger"
 	"jackdawcart.org/core/messenger/peerpb"
 )
 
-const (
-	dialTimeout = time.Second
-	// redialDelay spaces attempts to open a stream to a relay.
-	redialDelay = 200 * time.Millisecond
-)
-
-// Sessions opens sessions to relays.
-type Sessions interface {
-	Session(ctx context.Context, addr netip.AddrPort) (*messenger.Session, error)
-}
-
 // Directory knows where relays accept sessions.
 type Directory interface {
 	RelayAddress(node string) (netip.AddrPort, bool)
@@ -34,39 +18,29 @@
 type Receiver interface {
 	Deliver(answer *peerpb.SubAnswer)
 	DeliverExecute(answer *peerpb.ExecuteAnswer)
-	// Lost is told when the stream to a relay has ended, so that its answers
+	// Lost is told when the link to a relay has ended, so that its answers
 	// will not come.
 	Lost(relay string)
 }
 
-// Courier keeps one stream to each relay.
+// Courier sends to relays by name.
 type Courier struct {
-	sessions  Sessions
+	links     *messenger.Links
 	directory Directory
 	receiver  Receiver
-	log       *zap.Logger
-
-	mu      sync.Mutex
-	streams map[string]*link
-	closed  bool
-}
-
-type link struct {
-	stream  *messenger.Stream
-	dialing bool
-	failed  time.Time
 }
 
-// New returns a courier without streams. SetReceiver must follow.
-func New(sessions Sessions, directory Directory, log *zap.Logger) *Courier {
-	return &Courier{sessions: sessions, directory: directory, log: log, streams: make(map[string]*link)}
+// New returns a courier over the links. SetReceiver must follow.
+func New(links *messenger.Links, directory Directory) *Courier {
+	c := &Courier{links: links, directory: directory}
+	links.SetHandler(c)
+	return c
 }
 
 // SetReceiver names the receiver of answers.
 func (c *Courier) SetReceiver(receiver Receiver) { c.receiver = receiver }
 
-// Send hands a batch to a relay. An error means that nothing was sent; a
-// stream is then being opened for later batches.
+// Send hands a batch to a relay. An error means that nothing was sent.
 func (c *Courier) Send(relay string, batch *peerpb.Batch) error {
 	return c.send(relay, &peerpb.Frame{Kind: &peerpb.Frame_Batch{Batch: batch}})
 }
@@ -82,103 +56,33 @@
 	return c.send(relay, &peerpb.Frame{Kind: &peerpb.Frame_Execute{Execute: execute}})
 }
 
-// Warm opens the stream to a relay ahead of the first batch.
+// Warm opens the link to a relay ahead of the first batch.
 func (c *Courier) Warm(relay string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.link(relay)
-}
-
-// Close ends all streams.
-func (c *Courier) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-	for _, l := range c.streams {
-		if l.stream != nil {
-			l.stream.Close()
-		}
+	if addr, ok := c.directory.RelayAddress(relay); ok {
+		c.links.Warm(relay, addr)
 	}
 }
 
 func (c *Courier) send(relay string, frame *peerpb.Frame) error {
-	c.mu.Lock()
-	stream := c.link(relay)
-	c.mu.Unlock()
-	if stream == nil {
-		return &Error{Op: "send", Kind: KindUnreachable, Relay: relay}
-	}
-	if err := stream.Send(frame); err != nil {
-		return &Error{Op: "send", Kind: KindFull, Relay: relay, Err: err}
-	}
-	return nil
-}
-
-// link returns the open stream to a relay, or starts to open one.
-func (c *Courier) link(relay string) *messenger.Stream {
-	l, ok := c.streams[relay]
+	addr, ok := c.directory.RelayAddress(relay)
 	if !ok {
-		l = &link{}
-		c.streams[relay] = l
+		return &Error{Op: "send", Kind: KindUnreachable, Relay: relay}
 	}
-	if l.stream != nil || l.dialing || c.closed || time.Since(l.failed) < redialDelay {
-		return l.stream
+	if err := c.links.Send(relay, addr, frame); err != nil {
+		return &Error{Op: "send", Kind: KindUnreachable, Relay: relay, Err: err}
 	}
-	l.dialing = true
-	go c.open(relay, l)
 	return nil
 }
 
-func (c *Courier) open(relay string, l *link) {
-	stream, err := c.dial(relay)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l.dialing = false
-	if err != nil {
-		l.failed = time.Now()
-		c.log.Warn("relay cannot be reached", zap.String("relay", relay), zap.Error(err))
-		return
-	}
-	l.stream = stream
-	go c.receive(relay, l, stream)
-}
-
-func (c *Courier) dial(relay string) (*messenger.Stream, error) {
-	addr, ok := c.directory.RelayAddress(relay)
-	if !ok {
-		return nil, &Error{Op: "dial", Kind: KindUnreachable, Relay: relay}
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	session, err := c.sessions.Session(ctx, addr)
-	if err != nil {
-		return nil, &Error{Op: "dial", Kind: KindUnreachable, Relay: relay, Err: err}
-	}
-	stream, err := session.Open()
-	if err != nil {
-		return nil, &Error{Op: "dial", Kind: KindUnreachable, Relay: relay, Err: err}
+// Received hands an answer on; other frames are ignored.
+func (c *Courier) Received(_ string, frame *peerpb.Frame) {
+	switch kind := frame.Kind.(type) {
+	case *peerpb.Frame_SubAnswer:
+		c.receiver.Deliver(kind.SubAnswer)
+	case *peerpb.Frame_ExecuteAnswer:
+		c.receiver.DeliverExecute(kind.ExecuteAnswer)
 	}
-	return stream, nil
 }
 
-func (c *Courier) receive(relay string, l *link, stream *messenger.Stream) {
-	for {
-		frame, err := stream.Receive()
-		if err != nil {
-			break
-		}
-		switch kind := frame.Kind.(type) {
-		case *peerpb.Frame_SubAnswer:
-			c.receiver.Deliver(kind.SubAnswer)
-		case *peerpb.Frame_ExecuteAnswer:
-			c.receiver.DeliverExecute(kind.ExecuteAnswer)
-		}
-	}
-	stream.Close()
-	c.mu.Lock()
-	if l.stream == stream {
-		l.stream = nil
-	}
-	c.mu.Unlock()
-	c.receiver.Lost(relay)
-}
+// Lost passes on that the link to a relay has ended.
+func (c *Courier) Lost(relay string) { c.receiver.Lost(relay) }
--- a/gateway/courier/error.go
+++ b/gateway/courier/error.go
@@ -5,13 +5,8 @@
 // Kind classifies an error of this package.
 type Kind string
 
-// Kinds of errors.
-const (
-	// KindUnreachable means that no stream to the relay is open.
-	KindUnreachable Kind = "unreachable"
-	// KindFull means that the stream takes no more frames.
-	KindFull Kind = "full"
-)
+// KindUnreachable means that no link to the relay takes frames.
+const KindUnreachable Kind = "unreachable"
 
 // Error is the error type of this package.
 type Error struct {
--- a/gateway/runner/run.go
+++ b/gateway/runner/run.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/acceptor"
-	"jackdawcart.org/core/administrator"
 	"jackdawcart.org/core/adminapi"
+	"jackdawcart.org/core/administrator"
 	"jackdawcart.org/core/callerapi"
 	"jackdawcart.org/core/loader"
 	"jackdawcart.org/core/logger"
@@ -66,7 +66,8 @@
 	peers := messenger.NewPeers(keys, hello)
 	table := planner.NewTable()
 	subscribe := subscriber.New(peers, table, timers, log)
-	carry := courier.New(peers, subscribe, log)
+	links := messenger.NewLinks(peers)
+	carry := courier.New(links, subscribe)
 	engine := scatterer.New(scatterer.DefaultConfig(settings.FailureDomain), timers, table, carry)
 	execute := executor.New(timers, table, carry, settings.FailureDomain)
 	carry.SetReceiver(receiver{engine, execute})
@@ -119,7 +120,7 @@
 	drain(settings, respond, server, log)
 	handOver(ctx, settings, issue)
 	stop()
-	carry.Close()
+	links.Close()
 	peers.Close()
 	log.Info("gateway stopped")
 	return errors.Join(admin.Close(), metrics.Close(), spans.Shutdown(context.WithoutCancel(ctx)))
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/dispatcher"
 	"jackdawcart.org/core/limiter"
 	"jackdawcart.org/core/messenger/peerpb"
@@ -62,6 +65,7 @@
 	log         *zap.Logger
 
 	mu      sync.Mutex
+	leaving container.Set[string]
 	owned   map[netip.AddrPort]*ownedTarget
 	running sync.WaitGroup
 }
@@ -71,7 +75,8 @@
 	return &Connector{
 		relay: relay, incarnation: incarnation, timers: timers, dispatcher: d,
 		publisher: p, tracer: t, log: log,
-		owned: make(map[netip.AddrPort]*ownedTarget),
+		leaving: container.NewSet[string](),
+		owned:   make(map[netip.AddrPort]*ownedTarget),
 	}
 }
 
@@ -96,6 +101,27 @@
 	}
 }
 
+// SetLeaving names the VMs that the platform says are leaving, by name or by
+// address. A target on one of them gets no new work.
+func (c *Connector) SetLeaving(names, addresses []string) {
+	leaving := container.NewSet(append(slices.Clone(names), addresses...)...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if maps.Equal(c.leaving, leaving) {
+		return
+	}
+	c.leaving = leaving
+	for _, owned := range c.owned {
+		owned.pollNow()
+	}
+}
+
+func (c *Connector) isLeaving(t Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving.Has(t.Name) || c.leaving.Has(t.Address.String())
+}
+
 // Owned returns the number of owned targets.
 func (c *Connector) Owned() int {
 	c.mu.Lock()
--- a/relay/connector/target.go
+++ b/relay/connector/target.go
@@ -31,10 +31,15 @@
 	switch result.Failure {
 	case peerpb.FailureKind_FAILURE_SNAPSHOT_GONE, peerpb.FailureKind_FAILURE_DRAINING,
 		peerpb.FailureKind_FAILURE_UNREACHABLE, peerpb.FailureKind_FAILURE_LOST:
-		select {
-		case o.poll <- struct{}{}:
-		default:
-		}
+		o.pollNow()
+	}
+}
+
+// pollNow asks for a status call without waiting for the next period.
+func (o *ownedTarget) pollNow() {
+	select {
+	case o.poll <- struct{}{}:
+	default:
 	}
 }
 
@@ -96,6 +101,9 @@
 // publish announces the state if it has changed. A lost target keeps its
 // snapshots, so that coverage is still stated against their shard maps.
 func (o *ownedTarget) publish(phase peerpb.TargetPhase, snapshots []pooler.Snapshot) {
+	if o.connector.isLeaving(o.config) {
+		phase = peerpb.TargetPhase_TARGET_PHASE_DRAINING
+	}
 	next := &peerpb.TargetState{
 		Service:       o.config.Service,
 		Set:           o.config.Set,
--- /dev/null
+++ b/relay/controller/controller.go
@@ -0,0 +1,256 @@
+// Package controller runs the control work of a node: membership,
+// configuration, ownership of targets and quarantine.
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/buffer"
+	"jackdawcart.org/core/detector"
+	"jackdawcart.org/core/distributor"
+	"jackdawcart.org/core/keeper"
+	"jackdawcart.org/core/loader"
+	"jackdawcart.org/core/messenger"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/parser"
+	"jackdawcart.org/core/timer"
+	"jackdawcart.org/relay/connector"
+	"jackdawcart.org/relay/publisher"
+)
+
+const (
+	tickPeriod = 100 * time.Millisecond
+	// inboxSize bounds the control frames that wait. A lost frame is repaired
+	// by the next probe or digest.
+	inboxSize = 8192
+	// agePeriod is how often subscribers learn the age of the configuration.
+	agePeriod = time.Second
+)
+
+// Store is the platform's key-value service and VM list.
+type Store interface {
+	List(ctx context.Context, prefix string) (keeper.Listing, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (keeper.Listing, error)
+	VMs(ctx context.Context) ([]keeper.VM, error)
+}
+
+// Config joins the parts that a controller drives.
+type Config struct {
+	Settings    *loader.Settings
+	Incarnation uint64
+	Version     string
+	Timers      *timer.Service
+	Store       Store
+	Peers       *messenger.Peers
+	Publisher   *publisher.Publisher
+	Connector   *connector.Connector
+	Log         *zap.Logger
+}
+
+// Controller owns the control state; the goroutine of Run is the only one that
+// touches it.
+type Controller struct {
+	config  Config
+	links   *messenger.Links
+	inbox   *buffer.Ring[event]
+	rng     *rand.Rand
+	ready   atomic.Bool
+	stopped chan struct{}
+
+	detector    *detector.Detector
+	distributor *distributor.Distributor
+	ownership   *ownership
+	documents   map[string]*parser.Document
+
+	// incoming holds the latest control stream that each node has opened.
+	incoming map[string]*messenger.Stream
+	// addresses holds the nodes met at seed addresses, by node.
+	addresses  map[string]netip.AddrPort
+	neighbours map[string]string
+	followed   map[string]context.CancelFunc
+
+	view      uint64
+	reading   bool
+	watchFrom uint64
+	listedAt  time.Time
+	asking    bool
+	askedVMs  time.Time
+	vmSeeds   []seed
+	meetAt    time.Time
+	agedAt    time.Time
+}
+
+// event is one input of the control loop.
+type event struct {
+	from   string
+	stream *messenger.Stream
+	frame  *peerpb.Frame
+	run    func(now time.Time)
+}
+
+// New returns a controller that knows only its own node.
+func New(config Config) *Controller {
+	s := config.Settings
+	c := &Controller{
+		config:  config,
+		links:   messenger.NewLinks(config.Peers),
+		inbox:   buffer.NewRing[event](inboxSize),
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		stopped: make(chan struct{}),
+		detector: detector.New(config.Timers.Now(), detector.Settings{
+			Node: s.Node, FailureDomain: s.FailureDomain, RelayAddress: s.SessionAddress,
+			Incarnation: config.Incarnation, Version: config.Version,
+		}),
+		distributor: distributor.New(distributor.Settings{Node: s.Node, FailureDomain: s.FailureDomain}),
+		documents:   make(map[string]*parser.Document),
+		incoming:    make(map[string]*messenger.Stream),
+		addresses:   make(map[string]netip.AddrPort),
+		neighbours:  make(map[string]string),
+		followed:    make(map[string]context.CancelFunc),
+	}
+	c.ownership = newOwnership(s.Node, s.FailureDomain)
+	c.links.SetHandler(c)
+	return c
+}
+
+// Ready reports whether a configuration is in force.
+func (c *Controller) Ready() bool { return c.ready.Load() }
+
+// Run drives the control state until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	defer close(c.stopped)
+	ticks := c.config.Timers.Every(tickPeriod)
+	defer ticks.Stop()
+	defer c.links.Close()
+	for {
+		select {
+		case e := <-c.inbox.C():
+			c.handle(e)
+		case <-ticks.C:
+			c.tick(ctx)
+		case <-ctx.Done():
+			return
+		}
+		c.settle(ctx)
+	}
+}
+
+// do runs a function in the control loop and waits for it, unless the loop has
+// ended.
+func (c *Controller) do(run func(now time.Time)) {
+	done := make(chan struct{})
+	e := event{run: func(now time.Time) {
+		run(now)
+		close(done)
+	}}
+	for !c.inbox.Put(e) {
+		select {
+		case <-time.After(time.Millisecond):
+		case <-c.stopped:
+			return
+		}
+	}
+	select {
+	case <-done:
+	case <-c.stopped:
+	}
+}
+
+// Leave announces the planned stop of this node to its peers.
+func (c *Controller) Leave() {
+	c.do(func(now time.Time) { c.sendMembers(c.detector.Leave(now)) })
+}
+
+func (c *Controller) handle(e event) {
+	now := c.config.Timers.Now()
+	if e.run != nil {
+		e.run(now)
+		return
+	}
+	if e.stream != nil {
+		c.incoming[e.from] = e.stream
+	}
+	if leaving := e.frame.GetLeavingVms(); leaving != nil {
+		c.config.Connector.SetLeaving(leaving.Names, leaving.Addresses)
+		return
+	}
+	c.sendMembers(c.detector.Handle(now, e.from, e.frame))
+	c.sendDocuments(c.distributor.Handle(now, c.rng, e.from, e.frame))
+}
+
+func (c *Controller) tick(ctx context.Context) {
+	now := c.config.Timers.Now()
+	c.sendMembers(c.detector.Tick(now, c.rng))
+	c.sendDocuments(c.distributor.Tick(now, c.rng))
+	c.readStore(ctx, now)
+	c.readVMs(ctx, now)
+	c.meetSeeds(ctx, now)
+	if now.Sub(c.agedAt) >= agePeriod {
+		c.agedAt = now
+		c.publishDocuments(nil, now)
+	}
+}
+
+// settle carries the consequences of an input to the other parts.
+func (c *Controller) settle(ctx context.Context) {
+	now := c.config.Timers.Now()
+	c.detector.SetReadsStore(c.distributor.ReachesStore())
+	members := c.detector.Revision() != c.view
+	if members {
+		c.view = c.detector.Revision()
+		c.membersChanged(ctx)
+	}
+	documents := c.distributor.TakeChanges()
+	if len(documents) > 0 {
+		c.documentsChanged(documents, now)
+	}
+	if members || len(documents) > 0 {
+		c.assign()
+	}
+	if c.distributor.Ready() {
+		c.ready.Store(true)
+	}
+}
+
+func (c *Controller) documentsChanged(documents []*peerpb.Document, now time.Time) {
+	for _, d := range documents {
+		if d.Deleted {
+			delete(c.documents, d.Service)
+			c.config.Log.Info("service deleted", zap.String("service", d.Service), zap.Uint64("revision", d.Revision))
+			continue
+		}
+		doc, err := parser.Parse(d.Body)
+		if err != nil {
+			c.config.Log.Error("document cannot be used", zap.String("service", d.Service), zap.Uint64("revision", d.Revision), zap.Error(err))
+			continue
+		}
+		c.documents[d.Service] = doc
+		c.config.Log.Info("document in force", zap.String("service", d.Service), zap.Uint64("revision", d.Revision))
+	}
+	c.publishDocuments(documents, now)
+}
+
+func (c *Controller) publishDocuments(documents []*peerpb.Document, now time.Time) {
+	if !c.distributor.Ready() {
+		return
+	}
+	confirmed := time.Time{}
+	if age, ok := c.distributor.Age(now).Get(); ok {
+		confirmed = now.Add(-age)
+	}
+	c.config.Publisher.PutDocuments(documents, c.distributor.StoreRevision(), confirmed)
+}
+
+// assign makes the connector own what the membership gives this node.
+func (c *Controller) assign() {
+	if !c.distributor.Ready() {
+		return
+	}
+	c.config.Connector.Own(c.ownership.targets(c.documents))
+}
--- a/relay/publisher/publisher.go
+++ b/relay/publisher/publisher.go
@@ -59,7 +59,7 @@
 	for _, document := range p.documents {
 		p.send(stream, p.configUpdate([]*peerpb.Document{document}, false))
 	}
-	for states := range slices.Chunk(values(p.targets), targetsPerFrame) {
+	for states := range slices.Chunk(p.targetsFor(wanted), targetsPerFrame) {
 		p.send(stream, targetUpdate(states))
 	}
 	p.send(stream, p.configUpdate(nil, true))
@@ -103,7 +103,21 @@
 		return
 	}
 	p.targets[key] = state
-	p.broadcast(targetUpdate([]*peerpb.TargetState{state}))
+	frame := targetUpdate([]*peerpb.TargetState{state})
+	for stream, wanted := range p.subscribers {
+		if !wanted.OwnTargets || state.Relay == p.relay {
+			p.send(stream, frame)
+		}
+	}
+}
+
+// targetsFor returns the states that a new subscriber gets.
+func (p *Publisher) targetsFor(wanted *peerpb.Subscribe) []*peerpb.TargetState {
+	states := values(p.targets)
+	if !wanted.OwnTargets {
+		return states
+	}
+	return slices.DeleteFunc(states, func(s *peerpb.TargetState) bool { return s.Relay != p.relay })
 }
 
 // RemoveTarget announces that this relay no longer owns a target.
--- a/relay/runner/run.go
+++ b/relay/runner/run.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/acceptor"
 	"jackdawcart.org/core/administrator"
 	"jackdawcart.org/core/dispatcher"
 	"jackdawcart.org/core/keeper"
@@ -18,14 +19,17 @@
 	"jackdawcart.org/core/meter"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
-	"jackdawcart.org/core/acceptor"
 	"jackdawcart.org/relay/connector"
 	"jackdawcart.org/relay/controller"
 	"jackdawcart.org/relay/forwarder"
 	"jackdawcart.org/relay/publisher"
 )
 
-const process = "relay"
+const (
+	process      = "relay"
+	storeTimeout = 2 * time.Second
+	drainPeriod  = 10 * time.Millisecond
+)
 
 // Run runs a relay until the context ends, then stops it gracefully.
 func Run(ctx context.Context, settings *loader.Settings, version string) error {
@@ -50,12 +54,13 @@
 	dispatch := dispatcher.New(timers, nil)
 	connect := connector.New(settings.Node, incarnation, timers, dispatch, publish, spans, log)
 	forward := forwarder.New(timers, dispatch, noQuarantine{}, settings.MaxSubRequests, log)
-	control := &controller.Controller{
-		Self: settings.SessionAddress, Relays: settings.Relays, Domain: settings.FailureDomain,
-		Keeper:    keeper.NewClient(keeper.Settings{Address: settings.PlatformAddress, CallTimeout: 2 * time.Second}),
-		Publisher: publish, Connector: connect, Log: log,
-	}
-	admin := administrator.New(func() (bool, string) { return true, "" }, metrics.Handler)
+	peers := messenger.NewPeers(keys, hello)
+	control := controller.New(controller.Config{
+		Settings: settings, Incarnation: incarnation, Version: version, Timers: timers,
+		Store: keeper.NewClient(keeper.Settings{Address: settings.PlatformAddress, CallTimeout: storeTimeout}),
+		Peers: peers, Publisher: publish, Connector: connect, Log: log,
+	})
+	admin := administrator.New(func() (bool, string) { return control.Ready(), "no configuration in force" }, metrics.Handler)
 	if err := admin.Listen(ctx, settings.AdminAddress); err != nil {
 		return err
 	}
@@ -63,16 +68,35 @@
 	if err != nil {
 		return err
 	}
-	accept := acceptor.New(keys, hello, streams{publish, forward}.serve, log)
+	accept := acceptor.New(keys, hello, streams{publish, forward, control}.serve, log)
 	log.Info("relay started", zap.String("version", version), zap.Stringer("address", settings.SessionAddress))
-	go control.Run(ctx)
-	accept.Run(ctx, listener)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go control.Run(work)
+	go accept.Run(work, listener)
+	<-ctx.Done()
+	drain(settings, control, forward, log)
 	connect.Close()
 	dispatch.Close()
+	stop()
+	peers.Close()
 	log.Info("relay stopped")
 	return errors.Join(admin.Close(), metrics.Close(), spans.Shutdown(context.WithoutCancel(ctx)))
 }
 
+// drain tells the peers that this relay leaves, works on until they have had
+// time to hear, and ends what is in flight.
+func drain(settings *loader.Settings, control *controller.Controller, forward *forwarder.Forwarder, log *zap.Logger) {
+	log.Info("relay drains", zap.Int64("held", forward.Held()))
+	control.Leave()
+	time.Sleep(settings.LeaveTime)
+	forward.Refuse()
+	deadline := time.Now().Add(settings.DrainTime)
+	for forward.Held() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPeriod)
+	}
+}
+
 type noQuarantine struct{}
 
 // Quarantined reports false.
@@ -80,8 +104,9 @@
 
 // streams hands each stream to the part that serves its first frame.
 type streams struct {
-	publisher *publisher.Publisher
-	forwarder *forwarder.Forwarder
+	publisher  *publisher.Publisher
+	forwarder  *forwarder.Forwarder
+	controller *controller.Controller
 }
 
 func (s streams) serve(ctx context.Context, peer *peerpb.Hello, stream *messenger.Stream) {
@@ -89,13 +114,24 @@
 	if err != nil {
 		return
 	}
-	if subscribe := first.GetSubscribe(); subscribe != nil {
-		s.publisher.Subscribe(stream, subscribe)
-		defer s.publisher.Unsubscribe(stream)
-		for err == nil {
-			_, err = stream.Receive()
+	switch kind := first.Kind.(type) {
+	case *peerpb.Frame_Subscribe:
+		s.subscribe(peer, stream, kind.Subscribe)
+	case *peerpb.Frame_Batch, *peerpb.Frame_Cancel, *peerpb.Frame_Execute:
+		s.forwarder.Serve(ctx, peer, stream, first)
+	default:
+		s.controller.Serve(peer, stream, first)
+	}
+}
+
+// subscribe serves a subscriber until its stream ends.
+func (s streams) subscribe(peer *peerpb.Hello, stream *messenger.Stream, wanted *peerpb.Subscribe) {
+	defer s.controller.RegisterGateway(peer)()
+	s.publisher.Subscribe(stream, wanted)
+	defer s.publisher.Unsubscribe(stream)
+	for {
+		if _, err := stream.Receive(); err != nil {
+			return
 		}
-		return
 	}
-	s.forwarder.Serve(ctx, peer, stream, first)
 }
