--- a/core/validator/problem.go
+++ b/core/validator/problem.go
@@ -29,11 +29,19 @@
 // Problems are all mistakes of a file. It is an error when it is not empty.
 type Problems []Problem
 
-// Error returns one problem a line.
+// maxShown bounds the message of an error, which may go to a log. A hostile
+// file of 1 MB can have several hundred thousand mistakes.
+const maxShown = 100
+
+// Error returns one problem a line and the number of those beyond the first
+// hundred.
 func (p Problems) Error() string {
-	lines := make([]string, len(p))
-	for i := range p {
-		lines[i] = p[i].String()
+	var lines []string
+	for i := range p[:min(len(p), maxShown)] {
+		lines = append(lines, p[i].String())
+	}
+	if more := len(p) - maxShown; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
 	}
 	return strings.Join(lines, "\n")
 }
--- a/core/validator/source.go
+++ b/core/validator/source.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 
@@ -27,7 +28,7 @@
 	root hujson.Value
 	// offsets holds the start of each value by JSON pointer and newlines the
 	// end of each line, as a search of the text for each mistake would take
-	// quadratic time.
+	// quadratic time. They are filled at the first mistake.
 	offsets  map[string]int
 	newlines []int
 	// invalid holds the JSON pointers of values that failed a schema.
@@ -48,35 +49,35 @@
 	if err != nil {
 		return nil, Problems{syntaxProblem(file, err)}
 	}
-	s := &Source{
-		file:    file,
-		text:    text,
-		root:    root,
-		offsets: make(map[string]int),
-		invalid: container.NewSet[string](),
+	root.Standardize()
+	s := &Source{file: file, text: text, root: root, invalid: container.NewSet[string]()}
+	if !hasRepeatedName(&s.root) {
+		return s, nil
 	}
-	s.indexLines()
-	return s, s.indexValues()
+	return s, s.repeatedNames()
 }
 
 // Standard returns the text as plain JSON. Values that failed a schema are
 // null, so that the others can still be decoded and checked.
 func (s *Source) Standard() []byte {
-	root := s.root.Clone()
-	walk(&root, "", root.StartOffset, func(pointer string, _ int, v *hujson.Value) bool {
-		if !s.invalid.Has(pointer) {
-			return true
-		}
-		v.Value = hujson.Literal("null")
-		return false
-	})
-	root.Standardize()
-	return root.Pack()
+	if len(s.invalid) > 0 {
+		walk(&s.root, "", s.root.StartOffset, s.blank)
+	}
+	return s.root.Pack()
+}
+
+func (s *Source) blank(pointer string, _ int, v *hujson.Value) bool {
+	if !s.invalid.Has(pointer) {
+		return true
+	}
+	v.Value = hujson.Literal("null")
+	return false
 }
 
 // Problem returns a mistake in the value at a JSON pointer. The line is that
 // of the closest value that exists.
 func (s *Source) Problem(pointer, message string) Problem {
+	s.index()
 	return Problem{
 		File:    s.file,
 		Line:    s.lineOf(pointer),
@@ -103,30 +104,67 @@
 	return line + 1
 }
 
-func (s *Source) indexLines() {
+// index notes the place of each line and value.
+func (s *Source) index() {
+	if s.offsets != nil {
+		return
+	}
 	for i, c := range s.text {
 		if c == '\n' {
 			s.newlines = append(s.newlines, i)
 		}
 	}
+	s.offsets = make(map[string]int)
+	walk(&s.root, "", s.root.StartOffset, func(pointer string, start int, _ *hujson.Value) bool {
+		s.offsets[pointer] = start
+		return true
+	})
 }
 
-// indexValues notes the place of each value and returns the names that an
-// object has twice, of which encoding/json would silently take the last.
-func (s *Source) indexValues() Problems {
+// hasRepeatedName reports whether an object has a name twice, of which
+// encoding/json would silently take the last.
+func hasRepeatedName(root *hujson.Value) bool {
+	for v := range root.All() {
+		object, ok := v.Value.(*hujson.Object)
+		if !ok {
+			continue
+		}
+		seen := make(map[string]struct{}, len(object.Members))
+		for i := range object.Members {
+			seen[nameOf(&object.Members[i])] = struct{}{}
+		}
+		if len(seen) < len(object.Members) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Source) repeatedNames() Problems {
 	var problems Problems
-	walk(&s.root, "", s.root.StartOffset, func(pointer string, start int, v *hujson.Value) bool {
-		if _, taken := s.offsets[pointer]; taken {
+	seen := container.NewSet[string]()
+	walk(&s.root, "", s.root.StartOffset, func(pointer string, start int, _ *hujson.Value) bool {
+		if seen.Has(pointer) {
 			problem := s.Problem(pointer, "name is given twice")
 			problem.Line = s.lineAt(start)
 			problems = append(problems, problem)
 		}
-		s.offsets[pointer] = start
+		seen.Add(pointer)
 		return true
 	})
 	return problems
 }
 
+// nameOf returns the name of a member. Most names have no escapes, which makes
+// the general decoding needless.
+func nameOf(member *hujson.ObjectMember) string {
+	literal := member.Name.Value.(hujson.Literal)
+	if bytes.IndexByte(literal, '\\') < 0 && utf8.Valid(literal) {
+		return string(literal[1 : len(literal)-1])
+	}
+	return literal.String()
+}
+
 // walk calls visit for each value with its JSON pointer and its start, which
 // is that of the name for the member of an object. It skips the values below
 // one for which visit returns false.
@@ -143,7 +181,7 @@
 	case *hujson.Object:
 		for i := range value.Members {
 			member := &value.Members[i]
-			name := escape(member.Name.Value.(hujson.Literal).String())
+			name := escape(nameOf(member))
 			walk(&member.Value, pointer+"/"+name, member.Name.StartOffset, visit)
 		}
 	}
--- a/core/validator/validator_test.go
+++ b/core/validator/validator_test.go
@@ -66,6 +66,9 @@
 	if len(problems) != names {
 		t.Errorf("got %d problems, want %d", len(problems), names)
 	}
+	if message := problems.Error(); len(message) > 10_000 || !strings.HasSuffix(message, "and 99900 more") {
+		t.Errorf("got a message of %d bytes", len(message))
+	}
 	if elapsed := time.Since(start); elapsed > 10*time.Second {
 		t.Errorf("took %s", elapsed)
 	}
