Add the load tool

It sends an open-loop load through the callers' interface, counts latency from the intended send time, posts faults at given times, checks every answer against the targets' records and writes a report directory with plots.

--- a/core/checker/checker_test.go
+++ b/core/checker/checker_test.go
@@ -178,6 +178,7 @@
 	r := newRecord()
 	r.TargetsPartial = true
 	r.Targets.Runs = nil
+	r.Targets.Maps = r.Targets.Maps[1:]
 	if violations := checker.Check(r); len(violations) != 0 {
 		t.Errorf("reported %v", violations)
 	}
--- a/core/checker/record.go
+++ b/core/checker/record.go
@@ -149,7 +149,7 @@
 	Answers  []Answer     `json:"answers"`
 	Targets  TargetRecord `json:"targets"`
 	// TargetsPartial says that runs of some targets are missing, for example
-	// because a stand-in process was killed. Checks that need a run to exist
-	// are then left out; checks that forbid a run remain.
+	// because a stand-in process was killed. Checks that need a run or a shard
+	// map to exist are then left out; checks that forbid a run remain.
 	TargetsPartial bool `json:"targets-partial"`
 }
--- /dev/null
+++ b/loadtool/driver/control.go
@@ -0,0 +1,121 @@
+package driver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"time"
+
+	"jackdawcart.org/core/checker"
+	"jackdawcart.org/loadtool/scheduler"
+)
+
+// controlTimeout bounds one call of a control address. The record of a long
+// run is large.
+const controlTimeout = 30 * time.Second
+
+// postEvents posts the faults of the workload when they are due.
+func (d *Driver) postEvents(ctx context.Context, start time.Time) {
+	events := slices.Clone(d.workload.Events)
+	slices.SortStableFunc(events, func(a, b scheduler.Event) int { return int(a.At - b.At) })
+	for _, e := range events {
+		if !d.sleepUntil(ctx, start.Add(time.Duration(e.At))) {
+			return
+		}
+		if err := d.post(ctx, e); err != nil {
+			d.note("event at %s failed: %v", time.Duration(e.At), err)
+		}
+	}
+}
+
+// post sends an event to its stand-in. With several target stand-ins, those
+// without a matching target answer 404, and one that has some is enough.
+func (d *Driver) post(ctx context.Context, e scheduler.Event) error {
+	if e.To == scheduler.ToPlatform {
+		return d.postTo(ctx, d.workload.Platform, "/control", e.Faults)
+	}
+	var last error
+	done := false
+	for _, address := range d.workload.Targets {
+		err := d.postTo(ctx, address, "/control/"+url.PathEscape(e.Target), e.Faults)
+		if err == nil {
+			done = true
+			continue
+		}
+		last = err
+	}
+	if done {
+		return nil
+	}
+	return last
+}
+
+const maxErrorText = 1024
+
+func (d *Driver) postTo(ctx context.Context, address netip.AddrPort, path string, faults json.RawMessage) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+path, bytes.NewReader(faults))
+	if err != nil {
+		return err
+	}
+	response, err := d.control.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
+		return fmt.Errorf("%s: %s", response.Status, bytes.TrimSpace(text))
+	}
+	return nil
+}
+
+// readTargets adds the targets' records. Runs before the start belong to
+// earlier runs against the same stand-ins.
+func (d *Driver) readTargets(ctx context.Context, start time.Time) {
+	all := checker.TargetRecord{Refusals: map[string]int{}}
+	partial := d.workload.TargetsPartial || len(d.workload.Targets) == 0
+	for _, address := range d.workload.Targets {
+		record, err := d.readRecord(ctx, address)
+		if err != nil {
+			d.note("reading the record of %s failed: %v", address, err)
+			partial = true
+			continue
+		}
+		all.Maps = append(all.Maps, record.Maps...)
+		for _, r := range record.Runs {
+			if !r.Start.Before(start) {
+				all.Runs = append(all.Runs, r)
+			}
+		}
+		for code, count := range record.Refusals {
+			all.Refusals[code] += count
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.record.Targets = all
+	d.record.TargetsPartial = partial
+}
+
+func (d *Driver) readRecord(ctx context.Context, address netip.AddrPort) (*checker.TargetRecord, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/control/record", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	response, err := d.control.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var record checker.TargetRecord
+	if err := json.NewDecoder(response.Body).Decode(&record); err != nil {
+		return nil, err
+	}
+	return &record, nil
+}
--- /dev/null
+++ b/loadtool/driver/send.go
@@ -0,0 +1,152 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"jackdawcart.org/core/callerapi"
+	"jackdawcart.org/core/checker"
+	"jackdawcart.org/loadtool/scheduler"
+)
+
+func (d *Driver) send(ctx context.Context, a scheduler.Arrival) {
+	a.Request.Sent = d.clock.Now()
+	patience := a.Request.Deadline + time.Duration(d.workload.Patience)
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	if a.Request.Kind == checker.RequestExecute {
+		d.execute(ctx, a)
+		return
+	}
+	d.keep(a.Request, d.query(ctx, &a.Request))
+}
+
+// try calls gateways in turn, like a load balancer, until one accepts the
+// connection. A request is never sent again once a byte may have left.
+func (d *Driver) try(call func(*callerapi.Client) error) error {
+	first := d.next.Add(1)
+	var err error
+	for i := range uint64(len(d.clients)) {
+		client := d.clients[(first+i)%uint64(len(d.clients))]
+		if err = call(client); !isDialError(err) {
+			return err
+		}
+	}
+	return err
+}
+
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+func (d *Driver) query(ctx context.Context, q *checker.Request) checker.Answer {
+	request := &callerapi.QueryRequest{
+		RequestMinusID: callerapi.NewOptString(q.ID),
+		Services:       q.Services,
+		Text:           q.Text,
+		Limit:          callerapi.NewOptInt(q.Limit),
+		Deadline:       callerapi.NewOptDuration(q.Deadline),
+	}
+	if q.Priority != "" {
+		request.Priority = callerapi.NewOptPriority(callerapi.Priority(q.Priority))
+	}
+	var answer *callerapi.QueryAnswer
+	err := d.try(func(client *callerapi.Client) (err error) {
+		answer, err = client.Query(ctx, request, callerapi.QueryParams{JackdawcartCaller: q.Caller})
+		return err
+	})
+	if err != nil {
+		return failed(ctx, err)
+	}
+	return queryAnswer(answer)
+}
+
+func queryAnswer(answer *callerapi.QueryAnswer) checker.Answer {
+	a := checker.Answer{
+		Outcome: checker.OutcomeAnswered, Echoed: answer.RequestMinusID.Value, QueryID: answer.QueryMinusID,
+		Complete: answer.Complete, Coverage: answer.Coverage,
+	}
+	for _, h := range answer.Hits {
+		hit := checker.Hit{ID: h.ID, Score: h.Score, Title: h.Title}
+		a.Hits = append(a.Hits, checker.AnswerHit{Service: h.Service, Hit: hit})
+	}
+	for _, s := range answer.Services {
+		a.Services = append(a.Services, checker.ServiceAnswer{
+			Service: s.Service, Set: s.Set, Snapshot: s.Snapshot, Coverage: s.Coverage, Missing: s.MissingMinusShards,
+		})
+	}
+	return a
+}
+
+// execute obtains a ticket, unless the request has a key, and sends it once or
+// twice. Of two, one may truly be refused while the other runs, so both are
+// recorded as repeating each other.
+func (d *Driver) execute(ctx context.Context, a scheduler.Arrival) {
+	q := a.Request
+	request := &callerapi.ExecuteRequest{
+		Service: q.Services[0], Operation: q.Operation, Payload: q.Text, Deadline: callerapi.NewOptDuration(q.Deadline),
+	}
+	if a.Key {
+		request.IdempotencyMinusKey = callerapi.NewOptString(q.ID)
+	} else if err := d.ticket(ctx, &q, request); err != nil {
+		answer := failed(ctx, err)
+		// Without a ticket nothing was sent that could have run.
+		answer.Outcome = checker.OutcomeNotRun
+		d.keep(q, answer)
+		return
+	}
+	var sends sync.WaitGroup
+	if a.Resend {
+		q.Repeats = true
+		again := q
+		again.ID += "-again"
+		sends.Go(func() { d.keep(again, d.executeOnce(ctx, &again, request)) })
+	}
+	d.keep(q, d.executeOnce(ctx, &q, request))
+	sends.Wait()
+}
+
+func (d *Driver) ticket(ctx context.Context, q *checker.Request, request *callerapi.ExecuteRequest) error {
+	return d.try(func(client *callerapi.Client) error {
+		ticket, err := client.IssueTicket(ctx, callerapi.IssueTicketParams{JackdawcartCaller: q.Caller})
+		if err == nil {
+			request.Ticket = callerapi.NewOptString(ticket.Ticket)
+		}
+		return err
+	})
+}
+
+func (d *Driver) executeOnce(ctx context.Context, q *checker.Request, request *callerapi.ExecuteRequest) checker.Answer {
+	var answer *callerapi.ExecuteAnswer
+	err := d.try(func(client *callerapi.Client) (err error) {
+		answer, err = client.Execute(ctx, request, callerapi.ExecuteParams{JackdawcartCaller: q.Caller})
+		return err
+	})
+	if err != nil {
+		return failed(ctx, err)
+	}
+	return checker.Answer{
+		Outcome: checker.OutcomeAnswered, Echoed: answer.RequestMinusID, Complete: true, Coverage: 1, Result: answer.Result,
+	}
+}
+
+// failed turns an error into what the caller knows about its request.
+func failed(ctx context.Context, err error) checker.Answer {
+	var typed *callerapi.ErrorStatusCode
+	if errors.As(err, &typed) {
+		r := typed.Response
+		return checker.Answer{Outcome: checker.Outcome(r.Outcome), Code: string(r.Code), Message: r.Message}
+	}
+	a := checker.Answer{Outcome: checker.OutcomeUnknown, Code: CodeConnection, Message: err.Error()}
+	if ctx.Err() != nil {
+		a.Code = CodeNoAnswer
+	}
+	if isDialError(err) {
+		a.Outcome = checker.OutcomeNotRun
+	}
+	return a
+}
--- /dev/null
+++ b/loadtool/main.go
@@ -0,0 +1,20 @@
+// Program jackdawcart-load sends an open-loop load to gateways, checks the answers and
+// writes reports.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/loadtool/measurer/slowed.go
@@ -0,0 +1,90 @@
+package measurer
+
+import (
+	"encoding/json"
+	"time"
+
+	"jackdawcart.org/loadtool/scheduler"
+)
+
+// window is a part of the run.
+type window struct {
+	from, to time.Duration
+}
+
+// posted is the part of a target's fault that matters for the measures.
+type posted struct {
+	Kind string   `json:"kind"`
+	For  Duration `json:"for"`
+}
+
+// slowWindows returns the times at which the workload slows a target. A fault
+// without an end lasts until a clear event or the end of the run.
+func slowWindows(w *scheduler.Workload) []window {
+	var windows []window
+	for _, e := range w.Events {
+		if e.To != scheduler.ToTargets {
+			continue
+		}
+		at := time.Duration(e.At)
+		for _, f := range faultsOf(e) {
+			if f.Kind != "slow" {
+				continue
+			}
+			end := at + time.Duration(f.For)
+			if f.For == 0 {
+				end = nextClear(w, at)
+			}
+			windows = append(windows, window{at, end})
+		}
+	}
+	return windows
+}
+
+func nextClear(w *scheduler.Workload, after time.Duration) time.Duration {
+	end := w.Total()
+	for _, e := range w.Events {
+		at := time.Duration(e.At)
+		if e.To != scheduler.ToTargets || at <= after {
+			continue
+		}
+		for _, f := range faultsOf(e) {
+			if f.Kind == "clear" {
+				end = min(end, at)
+			}
+		}
+	}
+	return end
+}
+
+// faultsOf ignores a list of another form, which the stand-in rejects.
+func faultsOf(e scheduler.Event) []posted {
+	var faults []posted
+	if json.Unmarshal(e.Faults, &faults) != nil {
+		return nil
+	}
+	return faults
+}
+
+func slowedOf(w *scheduler.Workload, requests []*request) Slowed {
+	windows := slowWindows(w)
+	during := func(r *request) bool { return within(windows, r.at) }
+	other := func(r *request) bool { return !during(r) }
+	slowed := Slowed{During: latencyOf(requests, during), Other: latencyOf(requests, other)}
+	for at := time.Duration(0); at < w.Total(); at += crestStep {
+		if within(windows, at) {
+			slowed.Time += Duration(crestStep)
+		}
+	}
+	slowed.Ratio = ratio(float64(slowed.During.P99), float64(slowed.Other.P99))
+	return slowed
+}
+
+func within(windows []window, at time.Duration) bool {
+	for _, w := range windows {
+		if at >= w.from && at < w.to {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/loadtool/scheduler/scheduler_test.go
@@ -0,0 +1,95 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jackdawcart.org/loadtool/scheduler"
+)
+
+func ExamplePhase_RateAt() {
+	p := scheduler.Phase{For: scheduler.Duration(10 * time.Second), Shape: scheduler.ShapeSine, Rate: 100, Peak: 300}
+	fmt.Println(p.RateAt(0), p.RateAt(5*time.Second))
+	// Output: 100 300
+}
+
+func parse(t *testing.T, phase string) *scheduler.Workload {
+	t.Helper()
+	w, err := scheduler.Parse([]byte(`{"seed": 7, "phases": [` + phase + `], "mix": [
+		{"weight": 3, "services": ["a"]}, {"weight": 1, "services": ["b"], "text": "poison"}],
+		"non-idempotent": {"share": 0.25, "services": ["c"], "operation": "issue"}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// The arrivals must follow the shape, the mix and the share, and be the same
+// in every run of one seed.
+func TestArrivals(t *testing.T) {
+	w := parse(t, `{"name": "s", "for": "20s", "shape": "square", "rate": 100, "peak": 300, "period": "2s"}`)
+	low, high, kinds := 0, 0, map[string]int{}
+	var first []string
+	for a := range w.Arrivals("r") {
+		if a.Offset%(2*time.Second) < time.Second {
+			low++
+		} else {
+			high++
+		}
+		kinds[a.Request.Services[0]]++
+		first = append(first, a.String())
+	}
+	expect(t, "low half", low, 1000)
+	expect(t, "high half", high, 3000)
+	expect(t, "service a", kinds["a"], 2250)
+	expect(t, "poison", kinds["b"], 750)
+	expect(t, "non-idempotent", kinds["c"], 1000)
+	var second []string
+	for a := range w.Arrivals("r") {
+		second = append(second, a.String())
+	}
+	if diff := cmp.Diff(first, second); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// expect allows five standard deviations of a Poisson count.
+func expect(t *testing.T, what string, got, want int) {
+	t.Helper()
+	if math.Abs(float64(got-want)) > 5*math.Sqrt(float64(want)) {
+		t.Errorf("%s: %d arrivals, want about %d", what, got, want)
+	}
+}
+
+// A mistake in a workload must be reported before any load is sent.
+func TestParseRejects(t *testing.T) {
+	const mix = `"mix":[{"weight":1,"services":["a"]}]`
+	cases := map[string]string{
+		"needs phases":  `{}`,
+		"unknown shape": `{"phases":[{"name":"p","for":"1s","rate":1,"shape":"saw"}],` + mix + `}`,
+		"above 0":       `{"phases":[{"name":"p","rate":1}],` + mix + `}`,
+		"unknown field": `{"phases":[{"name":"p","for":"1s","rates":1}],` + mix + `}`,
+		"neither":       `{"phases":[{"name":"p","for":"1s","rate":1}],` + mix + `,"events":[{"at":"1s","to":"x","faults":[]}]}`,
+	}
+	for part, text := range cases {
+		if _, err := scheduler.Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), part) {
+			t.Errorf("want an error with %q, got %v", part, err)
+		}
+	}
+}
+
+// The workloads of the repository must stay readable.
+func TestDemoWorkload(t *testing.T) {
+	w, err := scheduler.Load("../workloads/demo.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.ValidateAddresses(); err != nil || w.Total() != 20*time.Second {
+		t.Errorf("%v, %v long", err, w.Total())
+	}
+}
