--- a/loadtool/driver/driver_test.go
+++ b/loadtool/driver/driver_test.go
@@ -77,11 +77,11 @@
 	}{
 		"other hits": {&fakeGateway{spoil: func(a *callerapi.QueryAnswer) { a.Hits[0].ID = "x" }}, checker.RuleRightHits},
 		"other request": {&fakeGateway{spoil: func(a *callerapi.QueryAnswer) {
-			a.RequestMinusID = callerapi.NewOptString("x")
+			a.RequestID = callerapi.NewOptString("x")
 		}}, checker.RuleOwnAnswer},
 		"other snapshot": {&fakeGateway{spoil: func(a *callerapi.QueryAnswer) { a.Services[0].Snapshot = "a9" }}, checker.RuleOneSnapshot},
 		"overstated coverage": {&fakeGateway{spoil: func(a *callerapi.QueryAnswer) {
-			a.Services[0].MissingMinusShards = []string{"y"}
+			a.Services[0].MissingShards = []string{"y"}
 		}}, checker.RuleTrueCoverage},
 		"untrue not-run": {&fakeGateway{refuse: func(*callerapi.QueryRequest) error { return untrue }}, checker.RuleNotRun},
 		"second run":     {&fakeGateway{twice: true}, checker.RuleAtMostOnce},
--- a/loadtool/driver/fake_test.go
+++ b/loadtool/driver/fake_test.go
@@ -73,8 +73,8 @@
 	g.queries++
 	id := "q" + strconv.Itoa(g.queries)
 	answer := &callerapi.QueryAnswer{
-		QueryMinusID: id, RequestMinusID: request.RequestMinusID, Complete: true, Coverage: 1,
-		Services: []callerapi.ServiceAnswer{{Service: "agenda", Set: "old", Snapshot: "a1", Coverage: 1, MissingMinusShards: []string{}}},
+		QueryID: id, RequestID: request.RequestID, Complete: true, Coverage: 1,
+		Services: []callerapi.ServiceAnswer{{Service: "agenda", Set: "old", Snapshot: "a1", Coverage: 1, MissingShards: []string{}}},
 		Hits:     []callerapi.Hit{},
 	}
 	for _, shard := range fakeMap.Shards {
@@ -109,18 +109,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queries++
-	return &callerapi.Ticket{Ticket: "t" + strconv.Itoa(g.queries), ExpiresMinusIn: time.Minute}, nil
+	return &callerapi.Ticket{Ticket: "t" + strconv.Itoa(g.queries), ExpiresIn: time.Minute}, nil
 }
 
 func (g *fakeGateway) Execute(_ context.Context, request *callerapi.ExecuteRequest, _ callerapi.ExecuteParams) (*callerapi.ExecuteAnswer, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	id := request.Ticket.Value + request.IdempotencyMinusKey.Value
+	id := request.Ticket.Value + request.IdempotencyKey.Value
 	if _, ok := g.results[id]; !ok || g.twice {
 		g.run(checker.Run{Kind: checker.RunExecute, RequestID: id, Text: request.Payload})
 	}
 	g.results[id] = checker.Execute(request.Operation, request.Payload)
-	return &callerapi.ExecuteAnswer{RequestMinusID: id, Result: g.results[id]}, nil
+	return &callerapi.ExecuteAnswer{RequestID: id, Result: g.results[id]}, nil
 }
 
 func (g *fakeGateway) NewError(_ context.Context, err error) *callerapi.ErrorStatusCode {
--- a/loadtool/driver/send.go
+++ b/loadtool/driver/send.go
@@ -45,11 +45,11 @@
 
 func (d *Driver) query(ctx context.Context, q *checker.Request) checker.Answer {
 	request := &callerapi.QueryRequest{
-		RequestMinusID: callerapi.NewOptString(q.ID),
-		Services:       q.Services,
-		Text:           q.Text,
-		Limit:          callerapi.NewOptInt(q.Limit),
-		Deadline:       callerapi.NewOptDuration(q.Deadline),
+		RequestID: callerapi.NewOptString(q.ID),
+		Services:  q.Services,
+		Text:      q.Text,
+		Limit:     callerapi.NewOptInt(q.Limit),
+		Deadline:  callerapi.NewOptDuration(q.Deadline),
 	}
 	if q.Priority != "" {
 		request.Priority = callerapi.NewOptPriority(callerapi.Priority(q.Priority))
@@ -67,7 +67,7 @@
 
 func queryAnswer(answer *callerapi.QueryAnswer) checker.Answer {
 	a := checker.Answer{
-		Outcome: checker.OutcomeAnswered, Echoed: answer.RequestMinusID.Value, QueryID: answer.QueryMinusID,
+		Outcome: checker.OutcomeAnswered, Echoed: answer.RequestID.Value, QueryID: answer.QueryID,
 		Complete: answer.Complete, Coverage: answer.Coverage,
 	}
 	for _, h := range answer.Hits {
@@ -76,7 +76,7 @@
 	}
 	for _, s := range answer.Services {
 		a.Services = append(a.Services, checker.ServiceAnswer{
-			Service: s.Service, Set: s.Set, Snapshot: s.Snapshot, Coverage: s.Coverage, Missing: s.MissingMinusShards,
+			Service: s.Service, Set: s.Set, Snapshot: s.Snapshot, Coverage: s.Coverage, Missing: s.MissingShards,
 		})
 	}
 	return a
@@ -91,7 +91,7 @@
 		Service: q.Services[0], Operation: q.Operation, Payload: q.Text, Deadline: callerapi.NewOptDuration(q.Deadline),
 	}
 	if a.Key {
-		request.IdempotencyMinusKey = callerapi.NewOptString(q.ID)
+		request.IdempotencyKey = callerapi.NewOptString(q.ID)
 	} else if err := d.ticket(ctx, &q, request); err != nil {
 		answer := failed(ctx, err)
 		// Without a ticket nothing was sent that could have run.
@@ -130,7 +130,7 @@
 		return failed(ctx, err)
 	}
 	return checker.Answer{
-		Outcome: checker.OutcomeAnswered, Echoed: answer.RequestMinusID, Complete: true, Coverage: 1, Result: answer.Result,
+		Outcome: checker.OutcomeAnswered, Echoed: answer.RequestID, Complete: true, Coverage: 1, Result: answer.Result,
 	}
 }
 
--- a/relay/publisher/publisher.go
+++ b/relay/publisher/publisher.go
@@ -62,7 +62,9 @@
 	for states := range slices.Chunk(p.targetsFor(wanted), targetsPerFrame) {
 		p.send(stream, targetUpdate(states))
 	}
-	p.send(stream, p.configUpdate(nil, true))
+	if p.revision > 0 {
+		p.send(stream, p.configUpdate(nil, true))
+	}
 }
 
 // Unsubscribe ends a subscription.
@@ -73,6 +75,8 @@
 }
 
 // PutDocuments announces documents, or only a new store revision and its age.
+// The first call brings a complete configuration, so that a subscriber is ready
+// with the first update marked complete, whether it came before or after.
 func (p *Publisher) PutDocuments(documents []*peerpb.Document, revision uint64, confirmed time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -80,7 +84,7 @@
 		p.documents[d.Service] = d
 	}
 	p.revision, p.confirmed = revision, confirmed
-	p.broadcast(p.configUpdate(documents, false))
+	p.broadcast(p.configUpdate(documents, true))
 }
 
 // PutMembers announces the complete list of members.
