--- a/platformstandin/command.go
+++ b/platformstandin/command.go
@@ -24,6 +24,7 @@
 const (
 	defaultReads      = 2000
 	defaultWrites     = 300
+	defaultAnswerTime = 2 * time.Millisecond
 	readHeaderTimeout = 10 * time.Second
 	expiryPeriod      = 50 * time.Millisecond
 )
@@ -39,6 +40,7 @@
 			&cli.DurationFlag{Name: "vm-lag", Usage: "lag of the VM list"},
 			&cli.FloatFlag{Name: "reads-per-second", Value: defaultReads, Usage: "limit of reads, 0 for none"},
 			&cli.FloatFlag{Name: "writes-per-second", Value: defaultWrites, Usage: "limit of writes, 0 for none"},
+			&cli.DurationFlag{Name: "answer-time", Value: defaultAnswerTime, Usage: "least time that a call takes"},
 		},
 		Action: run,
 	}
@@ -53,6 +55,7 @@
 	limits := server.Limits{
 		ReadsPerSecond:  command.Float("reads-per-second"),
 		WritesPerSecond: command.Float("writes-per-second"),
+		AnswerTime:      command.Duration("answer-time"),
 	}
 	s := server.New(store, limits, command.Duration("vm-lag"), log)
 	if err := loadVMs(s, command.String("vms")); err != nil {
--- a/platformstandin/server/server.go
+++ b/platformstandin/server/server.go
@@ -25,6 +25,8 @@
 type Limits struct {
 	ReadsPerSecond  float64
 	WritesPerSecond float64
+	// AnswerTime is the least time that a call takes.
+	AnswerTime time.Duration
 }
 
 // Server is the platform stand-in.
@@ -33,6 +35,8 @@
 	log    *zap.Logger
 	reads  *rate.Limiter
 	writes *rate.Limiter
+	// answerTime is the least time that a call takes.
+	answerTime time.Duration
 
 	mu     sync.Mutex
 	faults []activeFault
@@ -59,8 +63,9 @@
 	return &Server{
 		store: store, log: log,
 		reads: limiter(limits.ReadsPerSecond), writes: limiter(limits.WritesPerSecond),
-		record: Record{Calls: map[string]int{}, Refused: map[string]int{}},
-		vms:    vmHistory{lag: vmLag},
+		answerTime: limits.AnswerTime,
+		record:     Record{Calls: map[string]int{}, Refused: map[string]int{}},
+		vms:        vmHistory{lag: vmLag},
 	}
 }
 
@@ -107,6 +112,7 @@
 func (s *Server) call(kind string, limit *rate.Limiter, do func(*http.Request) answer) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		s.count(kind)
+		pause(r.Context(), s.answerTime)
 		if s.outage(r.Context()) {
 			s.write(rw, fail(http.StatusServiceUnavailable, "outage", "the platform is down"))
 			return
--- a/targetstandin/command.go
+++ b/targetstandin/command.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,6 +21,7 @@
 
 const (
 	defaultShards     = 8
+	defaultColdFactor = 5
 	readHeaderTimeout = 10 * time.Second
 )
 
@@ -31,8 +33,12 @@
 			&cli.StringFlag{Name: "targets", Usage: "`FILE` that describes the targets"},
 			&cli.StringFlag{Name: "documents", Usage: "`DIR` of service documents whose targets are served"},
 			&cli.IntFlag{Name: "shards", Value: defaultShards, Usage: "shards of each set with --documents"},
+			&cli.StringFlag{Name: "failure-domain", Usage: "serve only the targets of this failure `DOMAIN` with --documents"},
 			&cli.DurationFlag{Name: "service-time", Usage: "median service time with --documents"},
-			&cli.FloatFlag{Name: "straggler-share", Usage: "share of slow requests with --documents"},
+			&cli.FloatFlag{Name: "straggler-share", Usage: "share of requests that take ten times as long with --documents"},
+			&cli.DurationFlag{Name: "status-lag", Usage: "age of the status that targets report with --documents"},
+			&cli.DurationFlag{Name: "cold-start", Usage: "time during which a started target is slower with --documents"},
+			&cli.FloatFlag{Name: "cold-factor", Value: defaultColdFactor, Usage: "service time factor at the start of a cold start"},
 			&cli.StringFlag{Name: "control", Value: "127.0.0.1:7900", Usage: "control `ADDRESS`"},
 		},
 		Action: run,
@@ -65,16 +71,29 @@
 	if err != nil {
 		return nil, err
 	}
+	if domain := command.String("failure-domain"); domain != "" {
+		description.Targets = slices.DeleteFunc(description.Targets, func(t describer.Target) bool {
+			return t.FailureDomain != domain
+		})
+	}
 	for i := range description.Targets {
-		st := &description.Targets[i].ServiceTime
-		if median := command.Duration("service-time"); median > 0 {
-			st.Median = describer.Duration(median)
-		}
-		st.StragglerShare = command.Float("straggler-share")
+		adjust(&description.Targets[i], command)
 	}
 	return description, nil
 }
 
+// adjust sets what service documents do not tell about a target.
+func adjust(t *describer.Target, command *cli.Command) {
+	if median := command.Duration("service-time"); median > 0 {
+		t.ServiceTime.Median = describer.Duration(median)
+	}
+	t.ServiceTime.StragglerShare = command.Float("straggler-share")
+	t.StatusLag = describer.Duration(command.Duration("status-lag"))
+	if cold := command.Duration("cold-start"); cold > 0 {
+		t.ColdStart = describer.ColdStart{For: describer.Duration(cold), Factor: command.Float("cold-factor")}
+	}
+}
+
 func start(description *describer.Description, log *zap.Logger) ([]*simulator.Target, error) {
 	var targets []*simulator.Target
 	for _, d := range description.Targets {
