Follow relays by rank and run requests under idempotency keys

A gateway follows two relays of each failure domain it uses, its own VM's first, and replaces them as members change; before, it kept to the seed addresses of its settings. Idempotency keys are claimed in the platform's store; a store that cannot be reached is a refusal as not run.

--- a/gateway/issuer/issuer.go
+++ b/gateway/issuer/issuer.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"jackdawcart.org/core/callerapi"
+	"jackdawcart.org/core/claimer"
 	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/messenger"
 	"jackdawcart.org/core/messenger/peerpb"
@@ -25,6 +26,13 @@
 // upkeepPeriod is how often old tickets are forgotten and keys are read again.
 const upkeepPeriod = time.Second
 
+const (
+	// claimPoll is how long a repetition waits for a claim under way.
+	claimPoll = 10 * time.Millisecond
+	// maxKeyResult bounds a result kept in the store, in bytes.
+	maxKeyResult = 64 << 10
+)
+
 // Runner runs a request at a target.
 type Runner interface {
 	Run(ctx context.Context, caller string, deadline time.Time, execute *peerpb.Execute) executor.Result
@@ -51,6 +59,7 @@
 	Runner    Runner
 	Directory Directory
 	Sessions  Sessions
+	Store     KeyValues
 	Log       *zap.Logger
 }
 
@@ -69,7 +78,9 @@
 	mu      sync.Mutex
 	table   *ticketer.Table
 	waiting map[uint64]chan struct{}
+	keys    map[string]chan struct{}
 	running sync.WaitGroup
+	claimer *claimer.Claimer
 }
 
 // New returns an issuer without tickets.
@@ -82,6 +93,11 @@
 		config:  config,
 		table:   ticketer.NewTable(config.Timers.Now(), config.Table, keys),
 		waiting: make(map[uint64]chan struct{}),
+		keys:    make(map[string]chan struct{}),
+		claimer: claimer.New(claimer.Config{
+			Node: config.Table.Node, Incarnation: config.Table.Incarnation,
+			MaxOpen: config.Table.MaxTickets, MaxResultBytes: maxKeyResult,
+		}, claims{config.Store}),
 	}, nil
 }
 
@@ -107,6 +123,21 @@
 	}
 }
 
+// SettleClaims writes the ends of claims that an outage of the store has kept
+// from being written, until the context ends.
+func (i *Issuer) SettleClaims(ctx context.Context) {
+	ticks := i.config.Timers.Every(upkeepPeriod)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+			i.claimer.Settle(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (i *Issuer) upkeep() {
 	keys, err := keyring(i.config.Keys)
 	i.mu.Lock()
--- a/gateway/runner/run.go
+++ b/gateway/runner/run.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +14,7 @@
 	"jackdawcart.org/core/adminapi"
 	"jackdawcart.org/core/administrator"
 	"jackdawcart.org/core/callerapi"
+	"jackdawcart.org/core/keeper"
 	"jackdawcart.org/core/loader"
 	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/messenger"
@@ -43,6 +43,7 @@
 	// expired, so that a late repetition still gets it.
 	ticketRetention = 10 * time.Minute
 	maxResultBytes  = 16 << 20
+	storeTimeout    = 2 * time.Second
 )
 
 // Run runs a gateway until the context ends, then stops it gracefully.
@@ -65,7 +66,7 @@
 	metrics := meter.New(process, settings.Node)
 	peers := messenger.NewPeers(keys, hello)
 	table := planner.NewTable()
-	subscribe := subscriber.New(peers, table, timers, log)
+	subscribe := subscriber.New(settings, peers, table, timers, log)
 	links := messenger.NewLinks(peers)
 	carry := courier.New(links, subscribe)
 	engine := scatterer.New(scatterer.DefaultConfig(settings.FailureDomain), timers, table, carry)
@@ -77,6 +78,7 @@
 			Retention: ticketRetention, MaxTickets: settings.MaxTickets, MaxResultBytes: maxResultBytes,
 		},
 		Keys: keys, Timers: timers, Runner: execute, Directory: subscribe, Sessions: peers, Log: log,
+		Store: keeper.NewClient(keeper.Settings{Address: settings.PlatformAddress, CallTimeout: storeTimeout}),
 	})
 	if err != nil {
 		return err
@@ -105,9 +107,7 @@
 	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	for _, addr := range relayAddresses(settings) {
-		go subscribe.Follow(work, addr)
-	}
+	go subscribe.Run(work)
 	listener, err := acceptor.Listen(ctx, settings.SessionAddress)
 	if err != nil {
 		return err
@@ -115,6 +115,7 @@
 	accept := acceptor.New(keys, hello, issue.Serve, log)
 	go accept.Run(work, listener)
 	go issue.Run(work)
+	go issue.SettleClaims(work)
 	log.Info("gateway started", zap.String("version", version), zap.Stringer("address", settings.CallerAddress))
 	<-ctx.Done()
 	drain(settings, respond, server, log)
@@ -126,14 +127,6 @@
 	return errors.Join(admin.Close(), metrics.Close(), spans.Shutdown(context.WithoutCancel(ctx)))
 }
 
-func relayAddresses(settings *loader.Settings) []netip.AddrPort {
-	addresses := settings.Relays
-	for _, n := range settings.Neighbours {
-		addresses = append(addresses, n.Relays...)
-	}
-	return addresses
-}
-
 func ready(subscribe *subscriber.Subscriber, respond *responder.Responder) (bool, string) {
 	switch {
 	case respond.Stopping():
--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/loader"
 	"jackdawcart.org/core/messenger"
 	"jackdawcart.org/core/messenger/peerpb"
 	"jackdawcart.org/core/parser"
@@ -30,11 +31,12 @@
 
 // Subscriber keeps subscriptions to relays and the state that they give.
 type Subscriber struct {
+	settings *loader.Settings
 	sessions Sessions
 	table    *planner.Table
 	timers   *timer.Service
 	log      *zap.Logger
-	// found is called with each relay that a subscription has reached.
+	// found is called with each relay that is known to be live.
 	found func(relay string)
 
 	ready atomic.Bool
@@ -44,29 +46,27 @@
 	quarantine map[uint64]time.Time
 	revision   uint64
 	confirmed  time.Time
-	leaving    map[string]struct{}
 }
 
 // New returns a subscriber that fills the table. OnRelay may follow before
-// the first call of Follow.
-func New(sessions Sessions, table *planner.Table, timers *timer.Service, log *zap.Logger) *Subscriber {
+// the call of Run.
+func New(settings *loader.Settings, sessions Sessions, table *planner.Table, timers *timer.Service, log *zap.Logger) *Subscriber {
 	return &Subscriber{
-		sessions: sessions, table: table, timers: timers, log: log,
+		settings: settings, sessions: sessions, table: table, timers: timers, log: log,
 		members:    make(map[string]*peerpb.Member),
 		quarantine: make(map[uint64]time.Time),
-		leaving:    make(map[string]struct{}),
 		found:      func(string) {},
 	}
 }
 
-// OnRelay sets what is called with each relay that a subscription has reached.
+// OnRelay sets what is called with each relay that is known to be live.
 func (s *Subscriber) OnRelay(found func(relay string)) { s.found = found }
 
 // Ready reports whether a configuration is in force.
 func (s *Subscriber) Ready() bool { return s.ready.Load() }
 
-// Follow keeps a subscription to the relay at addr until the context ends.
-func (s *Subscriber) Follow(ctx context.Context, addr netip.AddrPort) {
+// keep renews a subscription to the relay at addr until the context ends.
+func (s *Subscriber) keep(ctx context.Context, addr netip.AddrPort) {
 	for ctx.Err() == nil {
 		if err := s.follow(ctx, addr); err != nil && ctx.Err() == nil {
 			s.log.Debug("subscription ended", zap.Stringer("relay", addr), zap.Error(err))
@@ -90,7 +90,6 @@
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { stream.Close() })
 	defer stop()
-	defer s.table.ForgetRelay(session.Peer().Node, s.timers.Now())
 	s.heardOf(session.Peer(), addr)
 	s.found(session.Peer().Node)
 	err = stream.Send(&peerpb.Frame{Kind: &peerpb.Frame_Subscribe{Subscribe: &peerpb.Subscribe{
@@ -155,27 +154,53 @@
 }
 
 func (s *Subscriber) applyMembers(update *peerpb.MembersUpdate) {
+	now := s.timers.Now()
+	var met, gone []string
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, m := range update.Members {
-		known, ok := s.members[m.Node]
-		if ok && known.Incarnation > m.Incarnation {
+		if known, ok := s.members[m.Node]; ok && !overrides(m, known) {
 			continue
 		}
 		s.members[m.Node] = m
+		if live(m) {
+			met = append(met, m.Node)
+		} else {
+			gone = append(gone, m.Node)
+		}
+	}
+	s.mu.Unlock()
+	for _, node := range met {
+		s.found(node)
+	}
+	for _, node := range gone {
+		s.table.ForgetRelay(node, now)
 	}
 }
 
+// overrides reports whether record a of a member is newer than b. At the same
+// incarnation the worse state is the newer one.
+func overrides(a, b *peerpb.Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.State >= b.State
+}
+
+func live(m *peerpb.Member) bool {
+	return m.State == peerpb.MemberState_MEMBER_STATE_ALIVE || m.State == peerpb.MemberState_MEMBER_STATE_SUSPECT
+}
+
 // heardOf notes the address of a relay before any members list names it.
 func (s *Subscriber) heardOf(peer *peerpb.Hello, addr netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.members[peer.Node]; ok && known.Incarnation >= peer.Incarnation {
+	if known, ok := s.members[peer.Node]; ok && live(known) {
 		return
 	}
+	// Any record of the member itself is newer than this one.
 	s.members[peer.Node] = &peerpb.Member{
 		Node: peer.Node, FailureDomain: peer.FailureDomain, RelayAddress: addr.String(),
-		Incarnation: peer.Incarnation, State: peerpb.MemberState_MEMBER_STATE_ALIVE,
+		State: peerpb.MemberState_MEMBER_STATE_ALIVE,
 	}
 }
 
