--- /dev/null
+++ b/core/evaluator/cluster.go
@@ -0,0 +1,166 @@
+package evaluator
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"jackdawcart.org/core/dispatcher"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/parser"
+	"jackdawcart.org/core/planner"
+	"jackdawcart.org/core/scatterer"
+)
+
+// One-way delays and the names of the snapshots.
+const (
+	linkDelay     = 500 * time.Microsecond
+	domainDelay   = time.Millisecond
+	oldSnapshot   = "s1"
+	newSnapshot   = "s2"
+	owners        = 2
+	replaceSpread = 300 * time.Millisecond
+	reportDelay   = 20 * time.Millisecond
+	shardWeight   = 100
+	// settled is how long targets have served when a run begins.
+	settled = time.Hour
+)
+
+// relay is one relay process: its dispatcher and its place.
+type relay struct {
+	name, domain string
+	dispatcher   *dispatcher.Dispatcher
+}
+
+// gateway is one gateway process with its transport.
+type gateway struct {
+	run    *run
+	domain string
+	engine *scatterer.Engine
+	admit  *admission
+}
+
+func shardName(shard int) string { return fmt.Sprintf("shard-%02d", shard) }
+
+func targetName(service string, shard, replica int) string {
+	return fmt.Sprintf("%s-%02d-%d", service, shard, replica)
+}
+
+func delayBetween(a, b string) time.Duration {
+	if a == b {
+		return linkDelay
+	}
+	return domainDelay
+}
+
+// Send carries a batch to a relay after the delay between the two.
+func (g *gateway) Send(name string, batch *peerpb.Batch) error {
+	r := g.run.relays[name]
+	time.AfterFunc(delayBetween(g.domain, r.domain), func() { r.accept(g, batch) })
+	return nil
+}
+
+// Cancel carries a cancel to a relay after the delay between the two.
+func (g *gateway) Cancel(name string, cancel *peerpb.Cancel) {
+	r := g.run.relays[name]
+	time.AfterFunc(delayBetween(g.domain, r.domain), func() { r.dispatcher.Cancel(cancel) })
+}
+
+func (r *relay) accept(g *gateway, batch *peerpb.Batch) {
+	deadline := time.Now().Add(batch.TimeLeft.AsDuration())
+	for _, sub := range batch.Subs {
+		r.dispatcher.Submit(&dispatcher.Job{
+			QueryID:  batch.QueryId,
+			Sub:      sub.Sub,
+			Attempt:  sub.Attempt,
+			Service:  sub.Service,
+			Target:   sub.Target,
+			Shard:    sub.Shard,
+			Snapshot: sub.Snapshot,
+			Text:     batch.Text,
+			Deadline: deadline,
+			Reply:    r.reply(g, batch.QueryId, sub),
+		})
+	}
+}
+
+func (r *relay) reply(g *gateway, query string, sub *peerpb.SubRequest) func(dispatcher.Result) {
+	return func(result dispatcher.Result) {
+		answer := &peerpb.SubAnswer{
+			QueryId: query, Sub: sub.Sub, Attempt: sub.Attempt,
+			Outcome: result.Outcome, Failure: result.Failure,
+			Snapshot: result.Snapshot, Shard: result.Shard, Load: result.Load,
+		}
+		time.AfterFunc(delayBetween(g.domain, r.domain), func() { g.engine.Deliver(answer) })
+	}
+}
+
+// connect gives each target to two relays of its failure domain.
+func (r *run) connect(spec *targetSpec) {
+	fake := newFakeTarget(spec, r)
+	for _, name := range r.ownersOf(spec) {
+		r.relays[name].dispatcher.Put(dispatcher.TargetConfig{
+			Name:    spec.name,
+			Limiter: r.variant.Limiter(spec.service.Slots, owners),
+			Client:  newClient(fake),
+		})
+	}
+}
+
+func (r *run) ownersOf(spec *targetSpec) []string {
+	vms := r.scenario.Deployment.VMsPerDomain
+	names := make([]string, 0, owners)
+	for i := range min(owners, vms) {
+		names = append(names, vmName(spec.domain, (spec.index+i)%vms))
+	}
+	return names
+}
+
+func vmName(domain string, n int) string { return fmt.Sprintf("%s-%d", domain, n) }
+
+// publishDocuments puts the documents of all services into the table.
+func (r *run) publishDocuments() {
+	for i := range r.scenario.Deployment.Services {
+		service := &r.scenario.Deployment.Services[i]
+		set := parser.Set{Name: "main"}
+		for _, spec := range r.specs {
+			if spec.service.Name == service.Name {
+				set.Targets = append(set.Targets, parser.Target{
+					Name: spec.name, Address: netip.AddrPort{}, FailureDomain: spec.domain, Slots: service.Slots,
+				})
+			}
+		}
+		r.table.Put(&parser.Document{
+			Service: service.Name, Sets: []parser.Set{set}, Answering: parser.Answering{Lead: "main"},
+		}, 1, r.started)
+	}
+}
+
+// report tells the gateways the state of a target, as its owners see it.
+func (r *run) report(spec *targetSpec, phase planner.Phase, since time.Time, snapshots ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	states := make([]*peerpb.TargetState, 0, owners)
+	for _, owner := range r.ownersOf(spec) {
+		states = append(states, &peerpb.TargetState{
+			Service: spec.service.Name, Set: "main", Target: spec.name, FailureDomain: spec.domain,
+			Phase: phase, Slots: uint32(spec.service.Slots), Snapshots: snapshotsOf(spec, snapshots),
+			Relay: owner, Incarnation: 1, Sequence: r.sequence,
+		})
+	}
+	r.table.Apply(states, since)
+}
+
+func snapshotsOf(spec *targetSpec, names []string) []*peerpb.Snapshot {
+	var list []*peerpb.Snapshot
+	for _, name := range names {
+		snapshot := &peerpb.Snapshot{Id: name, Sequence: uint64(slices.Index([]string{oldSnapshot, newSnapshot}, name) + 1), Held: []string{spec.shard}}
+		for shard := range spec.service.Shards {
+			snapshot.Shards = append(snapshot.Shards, &peerpb.Shard{Name: shardName(shard), Weight: shardWeight})
+		}
+		list = append(list, snapshot)
+	}
+	return list
+}
--- a/core/scatterer/query.go
+++ b/core/scatterer/query.go
@@ -290,4 +290,3 @@
 	s.ended = true
 	q.open--
 }
-
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -25,6 +25,8 @@
 	MaxEjected float64
 	// RemotePenalty multiplies the score of replicas in other failure domains.
 	RemotePenalty float64
+	// Random switches the comparison of replicas off, for comparison.
+	Random bool
 }
 
 // DefaultConfig returns the constants used in production.
@@ -91,6 +93,9 @@
 	// Two random choices avoid that all gateways pick the same target on the
 	// same stale load.
 	i := rng.IntN(len(usable))
+	if s.config.Random {
+		return usable[i], true
+	}
 	j := rng.IntN(len(usable) - 1)
 	if j >= i {
 		j++
