Let each relay fill a target's slots and judge latency by means

Cause: the limit shrank whenever the mean latency exceeded twice the lowest single latency. Service times of a healthy target vary by more than that, so the limit stayed at 1 and requests queued at relays beside idle slots. Ruled out: a wider tolerance alone (8 instead of 4 makes no difference), and a limit of the slots divided by the owners, at which a slot idles during each round trip and while the queue is at the other relay. Conclusion: the limit starts at twice the slots, shrinks to the relay's share, and is compared with the lowest mean of at least 20 latencies.

--- a/core/evaluator/result.go
+++ b/core/evaluator/result.go
@@ -1,7 +1,6 @@
 package evaluator
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -19,8 +18,9 @@
 	stats    scatterer.Stats
 }
 
-// Missed stands for the latency of a query that got no whole answer in time.
-const Missed = time.Duration(math.MaxInt64)
+// Missed stands for the latency of a query that got no whole answer in time; it
+// is far above any deadline.
+const Missed = time.Hour
 
 // Result holds the measures of one run.
 type Result struct {
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -12,9 +12,12 @@
 	Min, Max float64
 	// Initial is the limit before anything is known.
 	Initial float64
-	// Tolerance is the multiple of the lowest recent latency above which the
-	// limit shrinks.
+	// Tolerance is the multiple of the lowest recent mean latency above which
+	// the limit shrinks.
 	Tolerance float64
+	// Samples is the number of latencies before their mean is trusted. Single
+	// latencies vary by more than the tolerance at a target that is not loaded.
+	Samples int
 	// Backoff multiplies the limit when the target is overloaded.
 	Backoff float64
 	// QueuePerSlot bounds the queue to this multiple of the limit.
@@ -24,14 +27,17 @@
 }
 
 // DefaultConfig returns the constants for a target of the given slots that is
-// shared by the given number of relays.
+// shared by the given number of relays. Each relay may fill all slots twice:
+// with only its share, a slot idles during a round trip, or while the queue
+// waits at the other relay.
 func DefaultConfig(slots, owners int) Config {
-	share := max(float64(slots)/float64(max(owners, 1)), 1)
+	all := 2 * max(float64(slots), 1)
 	return Config{
-		Min:          1,
-		Max:          max(float64(slots), 1),
-		Initial:      share,
-		Tolerance:    2,
+		Min:          max(float64(slots)/float64(max(owners, 1)), 1),
+		Max:          all,
+		Initial:      all,
+		Tolerance:    4,
+		Samples:      20,
 		Backoff:      0.7,
 		QueuePerSlot: 8,
 		Window:       10 * time.Second,
@@ -55,9 +61,11 @@
 	limit    float64
 	inFlight int
 	queued   int
+	// lowest and previous are the lowest means of this window and the last one.
 	lowest   time.Duration
 	previous time.Duration
 	since    time.Time
+	samples  int
 	latency  time.Duration
 	backedAt time.Time
 }
@@ -119,7 +127,7 @@
 		return
 	}
 	s.observe(now, latency)
-	if s.lowest > 0 && float64(s.latency) > s.config.Tolerance*float64(s.lowest) {
+	if base := s.baseline(); base > 0 && float64(s.latency) > s.config.Tolerance*float64(base) {
 		s.shrink(now)
 		return
 	}
@@ -141,19 +149,28 @@
 	s.limit = max(s.limit*s.config.Backoff, s.config.Min)
 }
 
+// latencyWeight is the weight of a new sample in the moving average.
+const latencyWeight = 0.1
+
 func (s *State) observe(now time.Time, latency time.Duration) {
-	const weight = 0.1
 	if s.latency == 0 {
 		s.latency = latency
 	}
-	s.latency = time.Duration(weight*float64(latency) + (1-weight)*float64(s.latency))
+	s.latency = time.Duration(latencyWeight*float64(latency) + (1-latencyWeight)*float64(s.latency))
 	if now.Sub(s.since) >= s.config.Window {
-		s.previous, s.lowest, s.since = s.lowest, 0, now
+		s.previous, s.lowest, s.since, s.samples = s.lowest, 0, now, 0
 	}
-	if s.lowest == 0 || latency < s.lowest {
-		s.lowest = latency
+	s.samples++
+	if s.samples >= s.config.Samples && (s.lowest == 0 || s.latency < s.lowest) {
+		s.lowest = s.latency
 	}
-	if s.previous > 0 && s.previous < s.lowest {
-		s.lowest = s.previous
+}
+
+// baseline returns the lowest mean latency of the last two windows, 0 if none
+// is known.
+func (s *State) baseline() time.Duration {
+	if s.lowest == 0 || (s.previous > 0 && s.previous < s.lowest) {
+		return s.previous
 	}
+	return s.lowest
 }
