Keep the hedge budget from the first sub-request on

With the burst gone, a window of fewer than 50 latencies was thrown away, which left the delay of rarely asked services at 40 ms, and a sub-request that met an empty budget was never hedged later. Losers of a hedge were missing from the quantile. Conclusion: the budget starts empty, a window lasts until its quantile is known, a late sub-request asks the budget again each 5 ms, and a loser that never ran returns its share.

--- a/core/hedger/hedger.go
+++ b/core/hedger/hedger.go
@@ -21,7 +21,8 @@
 	Window time.Duration
 	// Budget is the share of sub-requests that may be sent again.
 	Budget float64
-	// Burst is the most hedges that an unused budget allows at once.
+	// Burst is the most hedges that an unused budget allows at once. The budget
+	// starts empty, so that the share holds from the first sub-request on.
 	Burst float64
 }
 
@@ -31,13 +32,13 @@
 		Quantile:     95,
 		MinDelay:     2 * time.Millisecond,
 		InitialDelay: 40 * time.Millisecond,
-		Window:       2 * time.Second,
+		Window:       time.Second,
 		Budget:       0.05,
-		Burst:        50,
+		Burst:        10,
 	}
 }
 
-// minSamples is the number of latencies below which a window is not trusted.
+// minSamples is the number of latencies below which a quantile is not trusted.
 const minSamples = 50
 
 const (
@@ -56,11 +57,10 @@
 	delay   time.Duration
 }
 
-// New returns a state with a full budget.
+// New returns a state with an empty budget.
 func New(config Config) *State {
 	return &State{
 		config:  config,
-		tokens:  config.Burst,
 		current: hdrhistogram.New(shortestLatency, longestLatency, significance),
 		delay:   config.InitialDelay,
 	}
@@ -81,13 +81,12 @@
 	if s.since.IsZero() {
 		s.since = now
 	}
-	if now.Sub(s.since) < s.config.Window {
+	// A window of a rarely asked service lasts until its quantile is known.
+	if now.Sub(s.since) < s.config.Window || s.current.TotalCount() < minSamples {
 		return
 	}
-	if s.current.TotalCount() >= minSamples {
-		quantile := time.Duration(s.current.ValueAtQuantile(s.config.Quantile))
-		s.delay = max(quantile, s.config.MinDelay)
-	}
+	quantile := time.Duration(s.current.ValueAtQuantile(s.config.Quantile))
+	s.delay = max(quantile, s.config.MinDelay)
 	s.current.Reset()
 	s.since = now
 }
--- a/core/scatterer/engine.go
+++ b/core/scatterer/engine.go
@@ -102,7 +102,8 @@
 	table     *planner.Table
 	transport Transport
 
-	late atomic.Int64
+	late      atomic.Int64
+	cancelled *cancelled
 
 	mu       sync.Mutex
 	live     map[string]*buffer.Ring[*peerpb.SubAnswer]
@@ -124,6 +125,7 @@
 		timers:    timers,
 		table:     table,
 		transport: transport,
+		cancelled: newCancelled(),
 		live:      make(map[string]*buffer.Ring[*peerpb.SubAnswer]),
 		services:  make(map[string]*serviceState),
 	}
@@ -132,6 +134,7 @@
 // Deliver hands an answer to the query that it belongs to. An answer of a
 // query that has ended is counted and dropped.
 func (e *Engine) Deliver(answer *peerpb.SubAnswer) {
+	e.cancelled.settle(answer)
 	e.mu.Lock()
 	inbox := e.live[answer.QueryId]
 	e.mu.Unlock()
--- a/core/scatterer/query.go
+++ b/core/scatterer/query.go
@@ -19,6 +19,8 @@
 	inboxMin    = 1024
 	// restartPeriod is how often a query whose snapshot is gone looks for another.
 	restartPeriod = 5 * time.Millisecond
+	// hedgeRetry is how long a sub-request waits when the budget is used up.
+	hedgeRetry = 5 * time.Millisecond
 )
 
 // query is the state of one running query; one goroutine owns it.
@@ -238,6 +240,8 @@
 		return
 	}
 	if !q.withdraw(s.part) {
+		// The budget goes to those that wait longest, so ask again later.
+		s.hedgeAt = now.Add(hedgeRetry)
 		return
 	}
 	if !q.start(s, now, batches) {
--- a/core/scatterer/receive.go
+++ b/core/scatterer/receive.go
@@ -136,6 +136,7 @@
 }
 
 func (q *query) cancelAttempts(s *sub) {
+	now := q.engine.timers.Now()
 	for _, a := range s.attempts {
 		if a.done {
 			continue
@@ -143,8 +144,14 @@
 		a.done = true
 		state := s.part.state
 		state.mu.Lock()
-		state.selector.Cancelled(a.replica.Target, q.engine.timers.Now().Sub(a.sent))
+		state.selector.Cancelled(a.replica.Target, now.Sub(a.sent))
+		// The time so far is a lower bound; without it the slow ones, which
+		// lose against their hedges, would be missing from the quantile.
+		state.hedger.Observe(now, now.Sub(a.sent))
 		state.mu.Unlock()
+		if len(s.attempts) > 1 && s.answered {
+			q.engine.cancelled.add(attemptKey{q.id, s.number, a.number}, state)
+		}
 		q.engine.transport.Cancel(a.relay, &peerpb.Cancel{QueryId: q.id, Sub: s.number, Attempt: a.number})
 	}
 }
