Choose replicas by the load that every relay reports

The budget of each service was spent where nothing was late while the service with the slow target had none left. A slow target kept a moderate mean latency, because all its requests were cancelled at the hedge delay, and went on to receive 2% of its service's requests. Change: answers carry the loads of the relay's other targets, replicas are compared by latency and requests per slot over both owners, the delay and the budget of hedges belong to the gateway, a document may still lower its own share, and three lost hedges in a row set a target aside.

--- a/core/evaluator/cluster.go
+++ b/core/evaluator/cluster.go
@@ -31,6 +31,7 @@
 type relay struct {
 	name, domain string
 	dispatcher   *dispatcher.Dispatcher
+	targets      []*targetSpec
 }
 
 // gateway is one gateway process with its transport.
@@ -92,6 +93,9 @@
 			Outcome: result.Outcome, Failure: result.Failure,
 			Snapshot: result.Snapshot, Shard: result.Shard, Load: result.Load,
 		}
+		if !g.run.variant.OwnLoadOnly {
+			answer.Loads = r.loads()
+		}
 		time.AfterFunc(delayBetween(g.domain, r.domain), func() { g.engine.Deliver(answer) })
 	}
 }
@@ -100,6 +104,7 @@
 func (r *run) connect(spec *targetSpec) {
 	fake := newFakeTarget(spec, r)
 	for _, name := range r.ownersOf(spec) {
+		r.relays[name].targets = append(r.relays[name].targets, spec)
 		r.relays[name].dispatcher.Put(dispatcher.TargetConfig{
 			Name:    spec.name,
 			Limiter: r.variant.Limiter(spec.service.Slots, owners),
@@ -164,3 +169,14 @@
 	}
 	return list
 }
+
+// loads returns the load of every target of the relay.
+func (r *relay) loads() []*peerpb.NamedLoad {
+	list := make([]*peerpb.NamedLoad, 0, len(r.targets))
+	for _, spec := range r.targets {
+		if load, ok := r.dispatcher.Load(spec.name); ok {
+			list = append(list, &peerpb.NamedLoad{Service: spec.service.Name, Target: spec.name, Load: load})
+		}
+	}
+	return list
+}
--- a/core/evaluator/variant.go
+++ b/core/evaluator/variant.go
@@ -30,6 +30,8 @@
 	// Plain lets targets queue without bound and relays open any number of
 	// connections, as the baseline needs.
 	Plain bool
+	// OwnLoadOnly makes an answer carry only the load of its own target.
+	OwnLoadOnly bool
 }
 
 // Policy returns the policy with its constants for production.
@@ -52,6 +54,8 @@
 		v.Scatterer.Selector.Random = true
 	case "hedger":
 		v.Scatterer.DisableHedges = true
+	case "piggyback":
+		v.OwnLoadOnly = true
 	case "limiter":
 		v.Limiter = unlimited
 	case "admitter":
@@ -68,7 +72,7 @@
 
 // Mechanisms lists the names that Without accepts.
 func Mechanisms() []string {
-	return []string{"selector", "hedger", "limiter", "admitter", "budget", "ramp", "ejection"}
+	return []string{"selector", "piggyback", "hedger", "limiter", "admitter", "budget", "ramp", "ejection"}
 }
 
 // Baseline returns a plain tier: a random replica, no hedge, no limit at the
--- a/core/scatterer/engine.go
+++ b/core/scatterer/engine.go
@@ -104,6 +104,9 @@
 
 	late      atomic.Int64
 	cancelled *cancelled
+	// hedges are those of all services: the service that delays a query needs
+	// the budget that the others leave over.
+	hedges *hedges
 
 	mu       sync.Mutex
 	live     map[string]*buffer.Ring[*peerpb.SubAnswer]
@@ -115,7 +118,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	selector *selector.State
-	hedger   *hedger.State
+	hedges   *hedges
 }
 
 // New returns an engine that sends through transport.
@@ -126,6 +129,7 @@
 		table:     table,
 		transport: transport,
 		cancelled: newCancelled(),
+		hedges:    newHedges(config.Hedger, nil),
 		live:      make(map[string]*buffer.Ring[*peerpb.SubAnswer]),
 		services:  make(map[string]*serviceState),
 	}
@@ -177,12 +181,10 @@
 		state = &serviceState{
 			rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			selector: selector.New(e.config.Selector),
-			hedger:   hedger.New(e.config.Hedger),
+			hedges:   newHedges(e.config.Hedger, e.hedges),
 		}
 		e.services[name] = state
 	}
-	if budget := entry.Document.Answering.HedgeBudget; budget > 0 {
-		state.hedger.SetBudget(min(budget, e.config.Hedger.Budget))
-	}
+	state.hedges.limit(entry.Document.Answering.HedgeBudget)
 	return state
 }
--- a/core/scatterer/pick.go
+++ b/core/scatterer/pick.go
@@ -7,14 +7,16 @@
 	"jackdawcart.org/core/selector"
 )
 
-// pick chooses a replica that has not been tried for this sub-request.
-func (q *query) pick(s *sub, now time.Time) (*planner.Replica, bool) {
+// pick chooses a replica that has not been tried for this sub-request and the
+// relay that the request goes through.
+func (q *query) pick(s *sub, now time.Time) (*planner.Replica, string, bool) {
 	candidates := make([]selector.Candidate, len(s.shard.Replicas))
 	for i, r := range s.shard.Replicas {
 		candidates[i] = selector.Candidate{
 			Target: r.Target,
 			Local:  r.FailureDomain == q.engine.config.FailureDomain,
 			Since:  r.Since,
+			Slots:  r.Slots,
 		}
 	}
 	state := s.part.state
@@ -22,10 +24,12 @@
 	defer state.mu.Unlock()
 	chosen, ok := state.selector.Pick(now, state.rng, candidates, s.tried)
 	if !ok {
-		return nil, false
+		return nil, "", false
 	}
-	state.selector.Started(candidates[chosen].Target)
-	return s.shard.Replicas[chosen], true
+	replica := s.shard.Replicas[chosen]
+	owner := state.selector.Owner(now, state.rng, replica.Target, replica.Owners)
+	state.selector.Started(replica.Target, owner)
+	return replica, owner, true
 }
 
 func (s *sub) tried(target string) bool {
@@ -36,13 +40,3 @@
 	}
 	return false
 }
-
-// owner chooses one of the relays that hold connections to a replica.
-func (q *query) owner(state *serviceState, r *planner.Replica) string {
-	if len(r.Owners) == 1 {
-		return r.Owners[0]
-	}
-	state.mu.Lock()
-	defer state.mu.Unlock()
-	return r.Owners[state.rng.IntN(len(r.Owners))]
-}
--- a/core/scatterer/query.go
+++ b/core/scatterer/query.go
@@ -147,10 +147,7 @@
 }
 
 func (q *query) startPart(p *part, batches map[string]*peerpb.Batch) {
-	p.state.mu.Lock()
-	p.state.hedger.Deposit(len(p.subs))
-	delay := p.state.hedger.Delay()
-	p.state.mu.Unlock()
+	delay := p.state.hedges.deposit(len(p.subs))
 	now := q.engine.timers.Now()
 	for _, s := range p.subs {
 		q.stats.Subs++
@@ -165,11 +162,11 @@
 // start adds an attempt of a sub-request to the batch of a relay. It returns
 // false when no replica is left.
 func (q *query) start(s *sub, now time.Time, batches map[string]*peerpb.Batch) bool {
-	replica, ok := q.pick(s, now)
+	replica, owner, ok := q.pick(s, now)
 	if !ok {
 		return false
 	}
-	a := &attempt{number: q.attempts, replica: replica, relay: q.owner(s.part.state, replica), sent: now}
+	a := &attempt{number: q.attempts, replica: replica, relay: owner, sent: now}
 	q.attempts++
 	s.attempts = append(s.attempts, a)
 	batch, ok := batches[a.relay]
@@ -239,30 +236,18 @@
 	if q.engine.config.DisableHedges || len(s.attempts) >= q.engine.config.MaxAttempts {
 		return
 	}
-	if !q.withdraw(s.part) {
+	if !s.part.state.hedges.withdraw() {
 		// The budget goes to those that wait longest, so ask again later.
 		s.hedgeAt = now.Add(hedgeRetry)
 		return
 	}
 	if !q.start(s, now, batches) {
-		q.refund(s.part)
+		s.part.state.hedges.refund()
 		return
 	}
 	q.stats.Hedges++
 }
 
-func (q *query) withdraw(p *part) bool {
-	p.state.mu.Lock()
-	defer p.state.mu.Unlock()
-	return p.state.hedger.Withdraw()
-}
-
-func (q *query) refund(p *part) {
-	p.state.mu.Lock()
-	defer p.state.mu.Unlock()
-	p.state.hedger.Refund()
-}
-
 func (q *query) untilWake() time.Duration {
 	at := q.deadline
 	now := q.engine.timers.Now()
--- a/core/scatterer/receive.go
+++ b/core/scatterer/receive.go
@@ -17,13 +17,17 @@
 	}
 	s := q.subs[answer.Sub]
 	a := s.attempt(answer.Attempt)
-	if a == nil || a.done {
+	if a == nil {
+		q.engine.late.Add(1)
+		return
+	}
+	q.noteLoad(s, a, answer)
+	if a.done {
 		q.engine.late.Add(1)
 		return
 	}
 	if answer.Failure != peerpb.FailureKind_FAILURE_NONE {
 		batches := make(map[string]*peerpb.Batch)
-		q.noteLoad(s, a, answer.Load)
 		q.fail(s, answer.Attempt, answer.Failure, batches)
 		q.send(batches)
 		return
@@ -43,9 +47,9 @@
 	latency := now.Sub(a.sent)
 	state := s.part.state
 	state.mu.Lock()
-	state.selector.Succeeded(a.replica.Target, latency, loadOf(answer.Load))
-	state.hedger.Observe(now, latency)
+	state.selector.Succeeded(now, a.replica.Target, latency)
 	state.mu.Unlock()
+	state.hedges.observe(now, latency)
 	if s.ended {
 		return
 	}
@@ -55,14 +59,25 @@
 	q.cancelAttempts(s)
 }
 
-func (q *query) noteLoad(s *sub, a *attempt, load *peerpb.TargetLoad) {
-	if load == nil {
-		return
+// noteLoad takes over the loads that an answer carries, also those of a late one.
+func (q *query) noteLoad(s *sub, a *attempt, answer *peerpb.SubAnswer) {
+	now := q.engine.timers.Now()
+	if answer.Load != nil {
+		s.part.state.report(now, a.replica.Target, a.relay, answer.Load)
+	}
+	for _, named := range answer.Loads {
+		for _, p := range q.parts {
+			if p.plan.Service == named.Service {
+				p.state.report(now, named.Target, a.relay, named.Load)
+			}
+		}
 	}
-	state := s.part.state
+}
+
+func (state *serviceState) report(now time.Time, target, relay string, load *peerpb.TargetLoad) {
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	state.selector.Report(a.replica.Target, loadOf(load))
+	state.selector.Report(now, target, relay, loadOf(load))
 }
 
 // fail ends an attempt and, where it may help, starts another.
@@ -96,7 +111,7 @@
 	defer state.mu.Unlock()
 	switch kind {
 	case peerpb.FailureKind_FAILURE_CANCELLED:
-		state.selector.Cancelled(a.replica.Target, now.Sub(a.sent))
+		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent))
 	case peerpb.FailureKind_FAILURE_OVERLOADED, peerpb.FailureKind_FAILURE_DEADLINE,
 		peerpb.FailureKind_FAILURE_SNAPSHOT_GONE, peerpb.FailureKind_FAILURE_NOT_OWNER:
 		state.selector.Released(a.replica.Target)
@@ -112,12 +127,12 @@
 		return false
 	}
 	free := costsNothing(kind)
-	if !free && !q.withdraw(s.part) {
+	if !free && !s.part.state.hedges.withdraw() {
 		return false
 	}
 	if !q.start(s, now, batches) {
 		if !free {
-			q.refund(s.part)
+			s.part.state.hedges.refund()
 		}
 		return false
 	}
@@ -144,11 +159,11 @@
 		a.done = true
 		state := s.part.state
 		state.mu.Lock()
-		state.selector.Cancelled(a.replica.Target, now.Sub(a.sent))
+		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent))
+		state.mu.Unlock()
 		// The time so far is a lower bound; without it the slow ones, which
 		// lose against their hedges, would be missing from the quantile.
-		state.hedger.Observe(now, now.Sub(a.sent))
-		state.mu.Unlock()
+		state.hedges.observe(now, now.Sub(a.sent))
 		if len(s.attempts) > 1 && s.answered {
 			q.engine.cancelled.add(attemptKey{q.id, s.number, a.number}, state)
 		}
--- a/core/scatterer/refund.go
+++ b/core/scatterer/refund.go
@@ -52,7 +52,5 @@
 	if !ok || answer.Outcome != peerpb.Outcome_OUTCOME_NOT_RUN {
 		return
 	}
-	state.mu.Lock()
-	defer state.mu.Unlock()
-	state.hedger.Refund()
+	state.hedges.refund()
 }
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -3,6 +3,7 @@
 package selector
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -15,8 +16,15 @@
 	InitialLatency time.Duration
 	// Ramp is how long a new target takes to reach its full share.
 	Ramp time.Duration
+	// LatencyLife is the time without a sample after which half of what a
+	// target's latency has above the initial one is forgotten, so that a target
+	// that was slow is tried again.
+	LatencyLife time.Duration
 	// EjectAfter is the number of failures in a row that sets a target aside.
 	EjectAfter int
+	// EjectLate is the number of requests in a row that lost against their
+	// hedge that sets a target aside; 0 means never.
+	EjectLate int
 	// EjectFor is how long a target is set aside the first time; it doubles up
 	// to EjectMax while the target keeps failing.
 	EjectFor time.Duration
@@ -25,6 +33,8 @@
 	MaxEjected float64
 	// RemotePenalty multiplies the score of replicas in other failure domains.
 	RemotePenalty float64
+	// Choices is the number of random candidates that are compared.
+	Choices int
 	// Random switches the comparison of replicas off, for comparison.
 	Random bool
 }
@@ -35,11 +45,14 @@
 		LatencyWeight:  0.2,
 		InitialLatency: 10 * time.Millisecond,
 		Ramp:           5 * time.Second,
+		LatencyLife:    3 * time.Second,
 		EjectAfter:     3,
+		EjectLate:      3,
 		EjectFor:       500 * time.Millisecond,
 		EjectMax:       15 * time.Second,
 		MaxEjected:     0.5,
-		RemotePenalty:  1.5,
+		RemotePenalty:  1.1,
+		Choices:        3,
 	}
 }
 
@@ -50,13 +63,8 @@
 	Local bool
 	// Since is when the target began to serve.
 	Since time.Time
-}
-
-// Load is a relay's view of a target, sent with each answer.
-type Load struct {
-	InFlight int
-	Queued   int
-	Limit    int
+	// Slots is the number of requests that the target runs at once.
+	Slots int
 }
 
 // State holds the statistics of the targets of one service. It is not safe
@@ -69,7 +77,9 @@
 type stats struct {
 	inFlight     int
 	latency      time.Duration
-	load         Load
+	sampled      time.Time
+	late         int
+	owners       map[string]*ownerLoad
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
@@ -90,21 +100,21 @@
 	if len(usable) == 1 {
 		return usable[0], true
 	}
-	// Two random choices avoid that all gateways pick the same target on the
-	// same stale load.
-	i := rng.IntN(len(usable))
+	first := rng.IntN(len(usable))
 	if s.config.Random {
-		return usable[i], true
-	}
-	j := rng.IntN(len(usable) - 1)
-	if j >= i {
-		j++
+		return usable[first], true
 	}
-	a, b := usable[i], usable[j]
-	if s.score(now, candidates[b]) < s.score(now, candidates[a]) {
-		return b, true
+	// Few random choices avoid that all gateways pick the same target on the
+	// same stale load.
+	choices := min(max(s.config.Choices, 1), len(usable))
+	rng.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	best := usable[0]
+	for _, i := range usable[1:choices] {
+		if s.score(now, candidates[i]) < s.score(now, candidates[best]) {
+			best = i
+		}
 	}
-	return a, true
+	return best, true
 }
 
 // usable drops ejected candidates, but never more than the allowed share, so
@@ -161,12 +171,7 @@
 // score estimates the time that a further request would take.
 func (s *State) score(now time.Time, c Candidate) float64 {
 	t := s.get(c.Target)
-	latency := t.latency
-	if latency == 0 {
-		latency = s.config.InitialLatency
-	}
-	waiting := float64(t.inFlight+1) + float64(t.load.Queued)
-	score := waiting * float64(latency)
+	score := float64(s.latency(now, t)) * crowding(t.outstanding(now)+1, c.Slots)
 	if !c.Local {
 		score *= s.config.RemotePenalty
 	}
@@ -176,27 +181,113 @@
 	return score
 }
 
-// Started counts a request sent to a target.
-func (s *State) Started(target string) { s.get(target).inFlight++ }
+// latency returns the expected latency of a target.
+func (s *State) latency(now time.Time, t *stats) time.Duration {
+	initial := s.config.InitialLatency
+	if t.latency == 0 {
+		return initial
+	}
+	if t.latency <= initial || s.config.LatencyLife <= 0 {
+		return t.latency
+	}
+	lives := float64(now.Sub(t.sampled)) / float64(s.config.LatencyLife)
+	return initial + time.Duration(float64(t.latency-initial)*math.Exp2(-lives))
+}
+
+// busyWeight makes a target with an idle slot better the more slots are idle.
+const busyWeight = 0.2
+
+// crowding returns by which factor a request takes longer among the given
+// number of requests than alone.
+func crowding(requests float64, slots int) float64 {
+	perSlot := requests / float64(max(slots, 1))
+	return 1 + busyWeight*min(perSlot, 1) + max(perSlot-1, 0)
+}
+
+// outstanding estimates the requests that all relays have at the target.
+func (t *stats) outstanding(now time.Time) float64 {
+	if len(t.owners) == 0 {
+		return float64(t.inFlight)
+	}
+	var sum float64
+	for _, o := range t.owners {
+		sum += o.estimate(now)
+	}
+	return max(sum, float64(t.inFlight))
+}
+
+// Owner returns the relay with the least requests at a target, for its number
+// of connections and with ties broken at random.
+func (s *State) Owner(now time.Time, rng *rand.Rand, target string, owners []string) string {
+	t := s.get(target)
+	best := owners[rng.IntN(len(owners))]
+	for _, owner := range owners {
+		if t.waiting(now, owner) < t.waiting(now, best) {
+			best = owner
+		}
+	}
+	return best
+}
+
+func (t *stats) waiting(now time.Time, owner string) float64 {
+	if o, ok := t.owners[owner]; ok {
+		return o.estimate(now)
+	}
+	return 0
+}
+
+// Overloaded reports whether a relay queues requests for the target.
+func (s *State) Overloaded(target string) bool {
+	t, ok := s.targets[target]
+	if !ok {
+		return false
+	}
+	for _, o := range t.owners {
+		if o.queued >= o.limit && o.limit > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Started counts a request sent to a target through a relay.
+func (s *State) Started(target, owner string) {
+	t := s.get(target)
+	t.inFlight++
+	if o, ok := t.owners[owner]; ok {
+		o.sent++
+	}
+}
 
 // Succeeded counts an answer and its latency.
-func (s *State) Succeeded(target string, latency time.Duration, load Load) {
+func (s *State) Succeeded(now time.Time, target string, latency time.Duration) {
 	t := s.get(target)
 	t.inFlight = max(t.inFlight-1, 0)
-	t.load = load
 	t.failures = 0
+	t.late = 0
 	t.ejections = 0
 	t.ejectedUntil = time.Time{}
-	s.observe(t, latency)
+	s.observe(now, t, latency)
 }
 
-// Cancelled counts a request that was given up after the given time, which is
-// a lower bound of its latency.
-func (s *State) Cancelled(target string, elapsed time.Duration) {
+// lateFactor turns the time after which a request was given up into an
+// estimate of the latency that it would have had.
+const lateFactor = 2
+
+// Cancelled counts a request that was given up after the given time, because
+// another replica answered first or because the query ended. Several in a row
+// set the target aside: its true latencies are never seen, so the average
+// alone would stay near the hedge delay.
+func (s *State) Cancelled(now time.Time, target string, elapsed time.Duration) {
 	t := s.get(target)
 	t.inFlight = max(t.inFlight-1, 0)
-	if elapsed > t.latency {
-		s.observe(t, elapsed)
+	if elapsed <= s.latency(now, t) {
+		return
+	}
+	s.observe(now, t, lateFactor*elapsed)
+	t.late++
+	if s.config.EjectLate > 0 && t.late >= s.config.EjectLate {
+		s.eject(now, t)
 	}
 }
 
@@ -207,23 +298,39 @@
 }
 
 // Report takes over a relay's view of a target.
-func (s *State) Report(target string, load Load) { s.get(target).load = load }
+func (s *State) Report(now time.Time, target, owner string, load Load) {
+	t := s.get(target)
+	if t.owners == nil {
+		t.owners = make(map[string]*ownerLoad)
+	}
+	o, ok := t.owners[owner]
+	if !ok {
+		o = &ownerLoad{}
+		t.owners[owner] = o
+	}
+	o.report(now, load)
+}
 
 // Failed counts a failure; several in a row set the target aside.
 func (s *State) Failed(now time.Time, target string) {
 	t := s.get(target)
 	t.inFlight = max(t.inFlight-1, 0)
 	t.failures++
-	if t.failures < s.config.EjectAfter {
-		return
+	if t.failures >= s.config.EjectAfter {
+		s.eject(now, t)
 	}
-	t.failures = 0
+}
+
+// eject sets a target aside, for longer each time that it fails again.
+func (s *State) eject(now time.Time, t *stats) {
+	t.failures, t.late = 0, 0
 	period := s.config.EjectFor << min(t.ejections, 10)
 	t.ejections++
 	t.ejectedUntil = now.Add(min(period, s.config.EjectMax))
 }
 
-func (s *State) observe(t *stats, latency time.Duration) {
+func (s *State) observe(now time.Time, t *stats, latency time.Duration) {
+	t.sampled = now
 	if t.latency == 0 {
 		t.latency = latency
 		return
