--- a/core/scatterer/engine.go
+++ b/core/scatterer/engine.go
@@ -105,7 +105,11 @@
 	table     *planner.Table
 	transport Transport
 
-	late atomic.Int64
+	late      atomic.Int64
+	cancelled *cancelled
+	// hedges are those of all services: the service that delays a query needs
+	// the budget that the others leave over.
+	hedges *hedges
 
 	mu       sync.Mutex
 	live     map[string]*buffer.Ring[event]
@@ -123,7 +127,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	selector *selector.State
-	hedger   *hedger.State
+	hedges   *hedges
 }
 
 // New returns an engine that sends through transport.
@@ -133,6 +137,8 @@
 		timers:    timers,
 		table:     table,
 		transport: transport,
+		cancelled: newCancelled(),
+		hedges:    newHedges(config.Hedger, nil),
 		live:      make(map[string]*buffer.Ring[event]),
 		services:  make(map[string]*serviceState),
 	}
@@ -141,6 +147,7 @@
 // Deliver hands an answer to the query that it belongs to. An answer of a
 // query that has ended is counted and dropped.
 func (e *Engine) Deliver(answer *peerpb.SubAnswer) {
+	e.cancelled.settle(answer)
 	e.mu.Lock()
 	inbox := e.live[answer.QueryId]
 	e.mu.Unlock()
@@ -193,12 +200,10 @@
 		state = &serviceState{
 			rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			selector: selector.New(e.config.Selector),
-			hedger:   hedger.New(e.config.Hedger),
+			hedges:   newHedges(e.config.Hedger, e.hedges),
 		}
 		e.services[name] = state
 	}
-	if budget := entry.Document.Answering.HedgeBudget; budget > 0 {
-		state.hedger.SetBudget(min(budget, e.config.Hedger.Budget))
-	}
+	state.hedges.limit(entry.Document.Answering.HedgeBudget)
 	return state
 }
