Wait for the holder of an idempotency key within the deadline

Ruled out: lost answers of targets, their record shows one run and an answer each. The wait doubles, because each look costs the store two calls.

--- a/gateway/issuer/issuer.go
+++ b/gateway/issuer/issuer.go
@@ -29,6 +29,9 @@
 const (
 	// claimPoll is how long a repetition waits for a claim under way.
 	claimPoll = 10 * time.Millisecond
+	// heldPoll is the first wait for a key that another process holds; it
+	// doubles, because each look costs the store two calls.
+	heldPoll = 20 * time.Millisecond
 	// maxKeyResult bounds a result kept in the store, in bytes.
 	maxKeyResult = 64 << 10
 )
--- a/gateway/issuer/key.go
+++ b/gateway/issuer/key.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -71,6 +72,7 @@
 func (i *Issuer) ExecuteKey(ctx context.Context, key string, request Request) (*peerpb.ExecuteAnswer, error) {
 	e := request.Execute
 	fingerprint := claimer.Fingerprint(ticketer.FingerprintOf(e.Service, e.Operation, e.Payload))
+	delay := heldPoll
 	for {
 		claim, cancel := context.WithDeadline(ctx, request.Deadline)
 		decision := i.claimer.Begin(claim, request.Caller, key, fingerprint)
@@ -88,12 +90,40 @@
 			}, nil
 		case claimer.VerdictRefused:
 			return nil, keyRefused(decision)
+		case claimer.VerdictHeld:
+			if !i.holderLives(decision) || !i.pause(ctx, delay, request) {
+				return unknown(decision.Key), nil
+			}
+			delay *= 2
 		default:
 			return unknown(decision.Key), nil
 		}
 	}
 }
 
+// holderLives reports whether the process that holds a key can still write its
+// end to the store.
+func (i *Issuer) holderLives(decision claimer.Decision) bool {
+	incarnation, _, ok := i.config.Directory.Gateway(decision.Node)
+	return ok && incarnation <= decision.Incarnation
+}
+
+// pause waits before the store is asked again. It reports false when the
+// request has no time left for that.
+func (i *Issuer) pause(ctx context.Context, delay time.Duration, request Request) bool {
+	if i.config.Timers.Now().Add(delay).After(request.Deadline) {
+		return false
+	}
+	wait := i.config.Timers.After(delay)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // runKey runs a request whose key this process has claimed, also when its
 // caller has gone: the claim must end.
 func (i *Issuer) runKey(ctx context.Context, key string, request Request) *peerpb.ExecuteAnswer {
