Do not take slow first answers of a target for silence

A search is given up as silent when its connection has brought nothing for ten times the usual latency while others of the target were answered. The limit was computed when the timer was set. Before the first answer it is 100 ms, so with a slow target the first answer made all searches beside it count as silent: they were cancelled and the answer was partial.

The limit is computed again when the timer fires.

--- a/core/pooler/pool.go
+++ b/core/pooler/pool.go
@@ -207,6 +207,11 @@
 		case <-ctx.Done():
 			return p.giveUp(cancel, done, search)
 		case <-watch.C:
+			// The first answers of a slow target may raise the limit meanwhile.
+			if left := p.silentAfter() - time.Since(started); left > 0 {
+				watch.Reset(left)
+				continue
+			}
 			if p.answers.Load() == before {
 				watch.Reset(p.silentAfter())
 				before = p.answers.Load()
--- /dev/null
+++ b/failuretests/callers_test.go
@@ -0,0 +1,364 @@
+package failuretests_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"jackdawcart.org/core/callerapi"
+	"jackdawcart.org/core/checker"
+	"jackdawcart.org/failuretests/launcher"
+)
+
+const (
+	sigterm = syscall.SIGTERM
+	sigstop = syscall.SIGSTOP
+	sigcont = syscall.SIGCONT
+)
+
+// codeBroken marks an answer that never came because the connection broke.
+const codeBroken = "broken-connection"
+
+// callers sends requests to all gateways and records what they see.
+type callers struct {
+	d        *deployment
+	clients  []*callerapi.Client
+	next     atomic.Uint64
+	sequence atomic.Uint64
+	pending  sync.WaitGroup
+
+	mu     sync.Mutex
+	record checker.Record
+	// superseded holds the requests that were refused because their ticket
+	// was withdrawn, and sent again under a new one.
+	superseded map[string]bool
+}
+
+func newCallers(d *deployment) *callers {
+	c := &callers{d: d, superseded: make(map[string]bool)}
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	d.t.Cleanup(transport.CloseIdleConnections)
+	for _, n := range d.Nodes {
+		c.clients = append(c.clients, newClient(d.t, n.Caller, transport))
+	}
+	return c
+}
+
+func newClient(t *testing.T, address netip.AddrPort, transport http.RoundTripper) *callerapi.Client {
+	t.Helper()
+	client, err := callerapi.NewClient("http://"+address.String(), callerapi.WithClient(&http.Client{Transport: transport}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
+
+// at returns the client of a node's gateway.
+func (c *callers) at(node int) []*callerapi.Client { return c.clients[node : node+1] }
+
+// rotated returns all clients, each time with another one first.
+func (c *callers) rotated() []*callerapi.Client {
+	first := int(c.next.Add(1)) % len(c.clients)
+	return append(append([]*callerapi.Client{}, c.clients[first:]...), c.clients[:first]...)
+}
+
+// try calls gateways in turn while one refuses the connection or says that it
+// is not ready or stops.
+func try(clients []*callerapi.Client, call func(*callerapi.Client) error) error {
+	var err error
+	for _, client := range clients {
+		if err = call(client); !elsewhere(err) {
+			return err
+		}
+	}
+	return err
+}
+
+func elsewhere(err error) bool {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return true
+	}
+	var typed *callerapi.ErrorStatusCode
+	return errors.As(err, &typed) &&
+		(typed.Response.Code == callerapi.ErrorCodeNotReady || typed.Response.Code == callerapi.ErrorCodeShuttingDown)
+}
+
+func (c *callers) newRequest(kind checker.RequestKind) checker.Request {
+	id := fmt.Sprintf("%s-%d", kind, c.sequence.Add(1))
+	return checker.Request{
+		ID: id, Kind: kind, Caller: "caller-" + id, Services: []string{launcher.Service},
+		Text: "text of " + id, Limit: 20, Deadline: c.d.Deadline, Operation: "issue", Sent: time.Now(),
+	}
+}
+
+func (c *callers) keep(q checker.Request, a checker.Answer) checker.Answer {
+	a.Request, a.At = q.ID, time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record.Requests = append(c.record.Requests, q)
+	c.record.Answers = append(c.record.Answers, a)
+	return a
+}
+
+// query sends one query with a text of its own.
+func (c *callers) query(clients []*callerapi.Client) checker.Answer {
+	return c.send(c.newRequest(checker.RequestQuery), clients)
+}
+
+// send sends a query. A caller's patience ends long after the deadline, so
+// that a late answer is seen as late.
+func (c *callers) send(q checker.Request, clients []*callerapi.Client) checker.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), q.Deadline+5*time.Second)
+	defer cancel()
+	request := &callerapi.QueryRequest{
+		RequestID: callerapi.NewOptString(q.ID), Services: q.Services, Text: q.Text,
+		Limit: callerapi.NewOptInt(q.Limit), Deadline: callerapi.NewOptDuration(q.Deadline),
+	}
+	var answer *callerapi.QueryAnswer
+	err := try(clients, func(client *callerapi.Client) (err error) {
+		answer, err = client.Query(ctx, request, callerapi.QueryParams{JackdawcartCaller: q.Caller})
+		return err
+	})
+	if err != nil {
+		return c.keep(q, failed(err))
+	}
+	return c.keep(q, answered(answer))
+}
+
+func answered(answer *callerapi.QueryAnswer) checker.Answer {
+	a := checker.Answer{
+		Outcome: checker.OutcomeAnswered, Echoed: answer.RequestID.Value, QueryID: answer.QueryID,
+		Complete: answer.Complete, Coverage: answer.Coverage,
+	}
+	for _, h := range answer.Hits {
+		a.Hits = append(a.Hits, checker.AnswerHit{Service: h.Service, Hit: checker.Hit{ID: h.ID, Score: h.Score, Title: h.Title}})
+	}
+	for _, s := range answer.Services {
+		a.Services = append(a.Services, checker.ServiceAnswer{
+			Service: s.Service, Set: s.Set, Snapshot: s.Snapshot, Coverage: s.Coverage, Missing: s.MissingShards,
+		})
+	}
+	return a
+}
+
+// failed turns an error into what the caller knows about its request.
+func failed(err error) checker.Answer {
+	var typed *callerapi.ErrorStatusCode
+	if errors.As(err, &typed) {
+		r := typed.Response
+		return checker.Answer{Outcome: checker.Outcome(r.Outcome), Code: string(r.Code), Message: r.Message}
+	}
+	a := checker.Answer{Outcome: checker.OutcomeUnknown, Code: codeBroken, Message: err.Error()}
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		a.Outcome = checker.OutcomeNotRun
+	}
+	return a
+}
+
+// ticket obtains a ticket for a request.
+func (c *callers) ticket(q *checker.Request, clients []*callerapi.Client) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	ticket := ""
+	err := try(clients, func(client *callerapi.Client) error {
+		answer, err := client.IssueTicket(ctx, callerapi.IssueTicketParams{JackdawcartCaller: q.Caller})
+		if err == nil {
+			ticket = answer.Ticket
+		}
+		return err
+	})
+	return ticket, err
+}
+
+// useTicket sends a non-idempotent request under a ticket, without recording
+// the answer.
+func (c *callers) useTicket(q *checker.Request, ticket string, clients []*callerapi.Client) checker.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), q.Deadline+5*time.Second)
+	defer cancel()
+	request := &callerapi.ExecuteRequest{
+		Ticket: callerapi.NewOptString(ticket), Service: q.Services[0], Operation: q.Operation, Payload: q.Text,
+		Deadline: callerapi.NewOptDuration(q.Deadline),
+	}
+	var answer *callerapi.ExecuteAnswer
+	err := try(clients, func(client *callerapi.Client) (err error) {
+		answer, err = client.Execute(ctx, request, callerapi.ExecuteParams{JackdawcartCaller: q.Caller})
+		return err
+	})
+	if err != nil {
+		return failed(err)
+	}
+	return checker.Answer{Outcome: checker.OutcomeAnswered, Echoed: answer.RequestID, Complete: true, Coverage: 1, Result: answer.Result}
+}
+
+// execute obtains a ticket and sends one non-idempotent request. When a
+// stopping gateway withdraws the ticket, it takes a new one.
+func (c *callers) execute(clients []*callerapi.Client) checker.Answer {
+	const attempts = 3
+	a := c.executeOnce(clients)
+	for range attempts - 1 {
+		if a.Outcome != checker.OutcomeNotRun || a.Code != string(callerapi.ErrorCodeTicketExpired) {
+			break
+		}
+		c.mu.Lock()
+		c.superseded[a.Request] = true
+		c.mu.Unlock()
+		a = c.executeOnce(clients)
+	}
+	return a
+}
+
+func (c *callers) executeOnce(clients []*callerapi.Client) checker.Answer {
+	q := c.newRequest(checker.RequestExecute)
+	ticket, err := c.ticket(&q, clients)
+	if err != nil {
+		a := failed(err)
+		a.Outcome = checker.OutcomeNotRun
+		return c.keep(q, a)
+	}
+	return c.keep(q, c.useTicket(&q, ticket, clients))
+}
+
+// loadPeriod spaces the requests of a load.
+const loadPeriod = 10 * time.Millisecond
+
+// load sends queries at a steady rate, and every fourth time a non-idempotent
+// request too, until the returned function is called, which waits for answers.
+func (c *callers) load(executes bool) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var sender sync.WaitGroup
+	sender.Go(func() {
+		ticks := time.NewTicker(loadPeriod)
+		defer ticks.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ticks.C:
+			case <-ctx.Done():
+				return
+			}
+			c.pending.Go(func() { c.query(c.rotated()) })
+			if executes && i%4 == 0 {
+				c.pending.Go(func() { c.execute(c.rotated()) })
+			}
+		}
+	})
+	stop = sync.OnceFunc(func() {
+		cancel()
+		sender.Wait()
+		c.pending.Wait()
+	})
+	c.d.t.Cleanup(stop)
+	return stop
+}
+
+// count returns the number of answers so far.
+func (c *callers) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.record.Answers)
+}
+
+// sentAfter returns the answers to requests that were sent after a time.
+func (c *callers) sentAfter(at time.Time) []checker.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var answers []checker.Answer
+	for i, q := range c.record.Requests {
+		if q.Sent.After(at) {
+			answers = append(answers, c.record.Answers[i])
+		}
+	}
+	return answers
+}
+
+// steady waits until a number of requests in a row are answered in full.
+func (c *callers) steady(within time.Duration, what string) {
+	c.d.t.Helper()
+	const streak = 100
+	start := time.Now()
+	c.d.eventually(within, what, func() bool {
+		answers := c.sentAfter(start)
+		if len(answers) < streak {
+			return false
+		}
+		for _, a := range answers[len(answers)-streak:] {
+			if !a.Complete {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// verify checks everything that was recorded against the targets' records.
+func (c *callers) verify() {
+	c.d.t.Helper()
+	c.pending.Wait()
+	record := checker.Record{}
+	record.Targets, record.TargetsPartial = c.d.record()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record.Requests, record.Answers = c.record.Requests, c.record.Answers
+	const shown = 10
+	violations := checker.Check(&record)
+	for _, v := range violations[:min(shown, len(violations))] {
+		c.d.t.Errorf("%s: request %s: %s", v.Rule, v.Request, v.Message)
+	}
+	if len(violations) > shown {
+		c.d.t.Errorf("%d violations in all", len(violations))
+	}
+	for i, q := range record.Requests {
+		if took := record.Answers[i].At.Sub(q.Sent); q.Kind == checker.RequestQuery && took > q.Deadline+networkMargin {
+			c.d.t.Errorf("query %s was answered after %s, %s after its deadline", q.ID, took, took-q.Deadline)
+		}
+	}
+	c.d.t.Logf("%d requests, outcomes %v", len(record.Requests), tally(record.Answers))
+}
+
+// tally counts answers by outcome and code.
+func tally(answers []checker.Answer) map[string]int {
+	counts := map[string]int{}
+	for _, a := range answers {
+		key := string(a.Outcome)
+		if a.Code != "" {
+			key += "/" + a.Code
+		} else if !a.Complete {
+			key += "/partial"
+		}
+		counts[key]++
+	}
+	return counts
+}
+
+// allAnswered fails the test when a request had no full answer.
+func (c *callers) allAnswered(why string) {
+	c.d.t.Helper()
+	c.pending.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	const shown = 5
+	bad := 0
+	for i, a := range c.record.Answers {
+		if a.Complete || c.superseded[a.Request] {
+			continue
+		}
+		bad++
+		if bad <= shown {
+			q := c.record.Requests[i]
+			c.d.t.Errorf("%s: request %s sent at %s: %s %s %s coverage %.2f after %s", why, q.ID,
+				q.Sent.Format("15:04:05.000"), a.Outcome, a.Code, a.Message, a.Coverage, a.At.Sub(q.Sent))
+		}
+	}
+	if bad > shown {
+		c.d.t.Errorf("%d of %d requests had no full answer", bad, len(c.record.Answers))
+	}
+}
