Reach another relay when the link of a request is not open

A non-idempotent request picked a target and then one of its relays at random. A relay owns several targets, so all three attempts could meet the same closed link, and the request was refused as unavailable 200 ms after a start. The executor now leaves out relays that could not be reached, and the subscriber opens the links to live relays again each second.

Ruled out: owners that had left (they refuse with NOT_OWNER, this was UNREACHABLE after 1.6 ms).

--- a/gateway/executor/executor.go
+++ b/gateway/executor/executor.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/messenger/peerpb"
 	"jackdawcart.org/core/planner"
 	"jackdawcart.org/core/timer"
@@ -62,18 +63,40 @@
 	}
 	result := Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: peerpb.FailureKind_FAILURE_UNREACHABLE}
 	replicas := e.order(e.table.Replicas(execute.Service, planner.ChooseSet(entry.Document, caller)))
-	for i, replica := range replicas {
-		if i == maxAttempts || !e.timers.Now().Before(deadline) {
+	cut := container.NewSet[string]()
+	attempts := 0
+	for _, replica := range replicas {
+		if attempts == maxAttempts || !e.timers.Now().Before(deadline) {
 			break
 		}
-		result = e.attempt(ctx, replica, deadline, execute)
+		relay, ok := owner(replica, cut)
+		if !ok {
+			continue
+		}
+		attempts++
+		sent := false
+		result, sent = e.attempt(ctx, replica, relay, deadline, execute)
 		if !untouched(result) {
 			break
 		}
+		if !sent {
+			cut.Add(relay)
+		}
 	}
 	return result
 }
 
+// owner returns one of the replica's relays, without those that could not be
+// reached: a relay often owns several replicas.
+func owner(replica *planner.Replica, cut container.Set[string]) (string, bool) {
+	for _, i := range rand.Perm(len(replica.Owners)) {
+		if relay := replica.Owners[i]; !cut.Has(relay) {
+			return relay, true
+		}
+	}
+	return "", false
+}
+
 // untouched reports whether no byte of the request can have reached a target.
 // A refusal by the target itself does not count, because its bytes have left.
 func untouched(result Result) bool {
@@ -107,8 +130,8 @@
 	rand.Shuffle(len(replicas), func(i, j int) { replicas[i], replicas[j] = replicas[j], replicas[i] })
 }
 
-func (e *Executor) attempt(ctx context.Context, replica *planner.Replica, deadline time.Time, execute *peerpb.Execute) Result {
-	relay := replica.Owners[rand.IntN(len(replica.Owners))]
+// attempt also reports whether the request was handed to the relay.
+func (e *Executor) attempt(ctx context.Context, replica *planner.Replica, relay string, deadline time.Time, execute *peerpb.Execute) (result Result, sent bool) {
 	w := &wait{relay: relay, answer: make(chan *peerpb.ExecuteAnswer, 1)}
 	e.mu.Lock()
 	e.waiting[execute.RequestId] = w
@@ -122,7 +145,7 @@
 	// paused; the target gets only the time that is left.
 	left := deadline.Sub(e.timers.Now())
 	if left <= 0 {
-		return Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: peerpb.FailureKind_FAILURE_DEADLINE}
+		return Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: peerpb.FailureKind_FAILURE_DEADLINE}, false
 	}
 	err := e.transport.Execute(relay, &peerpb.Execute{
 		RequestId: execute.RequestId, Service: execute.Service, Operation: execute.Operation,
@@ -130,9 +153,9 @@
 		Target: replica.Target, TargetAddress: replica.Address.String(), Fingerprint: execute.Fingerprint,
 	})
 	if err != nil {
-		return Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: peerpb.FailureKind_FAILURE_UNREACHABLE}
+		return Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: peerpb.FailureKind_FAILURE_UNREACHABLE}, false
 	}
-	return e.await(ctx, w, left)
+	return e.await(ctx, w, left), true
 }
 
 // await waits somewhat longer than the deadline, because the relay's answer
--- a/gateway/subscriber/choose.go
+++ b/gateway/subscriber/choose.go
@@ -27,6 +27,7 @@
 	defer ticks.Stop()
 	for {
 		s.refollow(ctx, followed)
+		s.warm()
 		select {
 		case <-ticks.C:
 		case <-ctx.Done():
@@ -35,6 +36,22 @@
 	}
 }
 
+// warm names all live relays again, because the link to one may have failed
+// to open when it was met, as happens while a VM starts.
+func (s *Subscriber) warm() {
+	s.mu.Lock()
+	var nodes []string
+	for _, m := range s.members {
+		if live(m) {
+			nodes = append(nodes, m.Node)
+		}
+	}
+	s.mu.Unlock()
+	for _, node := range nodes {
+		s.found(node)
+	}
+}
+
 func (s *Subscriber) refollow(ctx context.Context, followed map[netip.AddrPort]context.CancelFunc) {
 	wanted := s.choose()
 	for addr, cancel := range followed {
