Stop a gateway without cutting requests, start it with open links

A gateway called itself ready until it had stopped to listen, so a balancer could not see that it was leaving; it now is not ready from the signal on, and ends each connection with its next answer.

net/http drops a request without an answer when it reads it after the start of Shutdown. The gateway now refuses connections first and gives those that were accepted 250 ms to send their request.

It now waits for the first attempt at each link, of which a refused one is tried again once.

--- a/core/messenger/links.go
+++ b/core/messenger/links.go
@@ -37,6 +37,8 @@
 	addr    netip.AddrPort
 	stream  *Stream
 	dialing bool
+	// tried says that the first attempt to open the link has ended.
+	tried   bool
 	failed  time.Time
 	pending []*peerpb.Frame
 }
@@ -83,6 +85,21 @@
 	l.open(node, addr)
 }
 
+// Settled reports whether a link is open and none is being opened for the first
+// time.
+func (l *Links) Settled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	open := false
+	for _, entry := range l.links {
+		if entry.dialing && !entry.tried {
+			return false
+		}
+		open = open || entry.stream != nil
+	}
+	return open
+}
+
 // Drop closes the link to a node that has left.
 func (l *Links) Drop(node string) {
 	l.mu.Lock()
@@ -131,9 +148,14 @@
 
 func (l *Links) dial(node string, entry *link) {
 	stream, err := l.stream(entry.addr)
+	if err != nil {
+		// A peer that was starting may be up now.
+		time.Sleep(redialDelay)
+		stream, err = l.stream(entry.addr)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	entry.dialing = false
+	entry.dialing, entry.tried = false, true
 	pending := entry.pending
 	entry.pending = nil
 	if err != nil {
--- a/gateway/courier/courier.go
+++ b/gateway/courier/courier.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 
 	"jackdawcart.org/core/messenger"
 	"jackdawcart.org/core/messenger/peerpb"
@@ -28,6 +29,7 @@
 	links     *messenger.Links
 	directory Directory
 	receiver  Receiver
+	ready     atomic.Bool
 }
 
 // New returns a courier over the links. SetReceiver must follow.
@@ -40,6 +42,15 @@
 // SetReceiver names the receiver of answers.
 func (c *Courier) SetReceiver(receiver Receiver) { c.receiver = receiver }
 
+// Ready reports whether the first links have been opened. The later loss of a
+// link does not take it back, because other relays serve meanwhile.
+func (c *Courier) Ready() bool {
+	if !c.ready.Load() && c.links.Settled() {
+		c.ready.Store(true)
+	}
+	return c.ready.Load()
+}
+
 // Send hands a batch to a relay. An error means that nothing was sent.
 func (c *Courier) Send(relay string, batch *peerpb.Batch) error {
 	return c.send(relay, &peerpb.Frame{Kind: &peerpb.Frame_Batch{Batch: batch}})
--- a/gateway/responder/responder.go
+++ b/gateway/responder/responder.go
@@ -46,6 +46,7 @@
 	config   Config
 	errors   tally.Scope
 	latency  tally.Histogram
+	leaving  atomic.Bool
 	stopping atomic.Bool
 	live     atomic.Int64
 
@@ -67,6 +68,12 @@
 	}
 }
 
+// Leave announces that the responder will stop. It still answers requests.
+func (r *Responder) Leave() { r.leaving.Store(true) }
+
+// Leaving reports whether callers should go elsewhere.
+func (r *Responder) Leaving() bool { return r.leaving.Load() }
+
 // Stop makes the responder refuse new requests as not run.
 func (r *Responder) Stop() { r.stopping.Store(true) }
 
--- a/gateway/runner/run.go
+++ b/gateway/runner/run.go
@@ -46,6 +46,10 @@
 	storeTimeout    = 2 * time.Second
 )
 
+// lastRequestTime is how long a caller may take to send its request on a
+// connection that was accepted just before the gateway stopped listening.
+const lastRequestTime = 250 * time.Millisecond
+
 // Run runs a gateway until the context ends, then stops it gracefully.
 func Run(ctx context.Context, settings *loader.Settings, version string) error {
 	log := logger.New(settings.LogLevel, process, settings.Node)
@@ -84,12 +88,13 @@
 		return err
 	}
 	subscribe.OnRelay(carry.Warm)
+	control := controlView{subscribe, carry}
 	respond := responder.New(responder.Config{
-		Timers: timers, Table: table, Engine: engine, Control: subscribe, Tracer: spans,
+		Timers: timers, Table: table, Engine: engine, Control: control, Tracer: spans,
 		Issuer: issue, TicketExpiry: settings.TicketExpiry,
 		Metrics: metrics.Scope, Log: log, MaxQueries: settings.MaxQueries,
 	})
-	admin := administrator.New(func() (bool, string) { return ready(subscribe, respond) }, metrics.Handler)
+	admin := administrator.New(func() (bool, string) { return ready(control, respond) }, metrics.Handler)
 	report := reporter.New(adminapi.Origin{
 		Node: settings.Node, Process: process, FailureDomain: settings.FailureDomain,
 	}, subscribe, table)
@@ -101,7 +106,7 @@
 	if err := admin.Listen(ctx, settings.AdminAddress); err != nil {
 		return err
 	}
-	server, err := serveCallers(ctx, settings, respond, log)
+	server, callers, err := serveCallers(ctx, settings, respond, log)
 	if err != nil {
 		return err
 	}
@@ -118,7 +123,7 @@
 	go issue.SettleClaims(work)
 	log.Info("gateway started", zap.String("version", version), zap.Stringer("address", settings.CallerAddress))
 	<-ctx.Done()
-	drain(settings, respond, server, log)
+	drain(settings, respond, server, callers, log)
 	handOver(ctx, settings, issue)
 	stop()
 	links.Close()
@@ -127,44 +132,73 @@
 	return errors.Join(admin.Close(), metrics.Close(), spans.Shutdown(context.WithoutCancel(ctx)))
 }
 
-func ready(subscribe *subscriber.Subscriber, respond *responder.Responder) (bool, string) {
+// controlView is ready once a configuration is in force and the links to the
+// relays that are known by then have been opened.
+type controlView struct {
+	*subscriber.Subscriber
+	courier *courier.Courier
+}
+
+// Ready reports whether queries can be answered.
+func (c controlView) Ready() bool { return c.Subscriber.Ready() && c.courier.Ready() }
+
+func ready(control controlView, respond *responder.Responder) (bool, string) {
 	switch {
-	case respond.Stopping():
+	case respond.Leaving():
 		return false, "stopping"
-	case !subscribe.Ready():
+	case !control.Subscriber.Ready():
 		return false, "no configuration in force"
+	case !control.Ready():
+		return false, "links to relays are being opened"
 	default:
 		return true, ""
 	}
 }
 
-func serveCallers(ctx context.Context, settings *loader.Settings, respond *responder.Responder, log *zap.Logger) (*http.Server, error) {
+func serveCallers(ctx context.Context, settings *loader.Settings, respond *responder.Responder, log *zap.Logger) (*http.Server, net.Listener, error) {
 	api, err := callerapi.NewServer(respond)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", settings.CallerAddress.String())
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	server := &http.Server{
-		Handler:           http.MaxBytesHandler(api, int64(settings.MaxBodyBytes)),
+		Handler:           closeOnLeave(http.MaxBytesHandler(api, int64(settings.MaxBodyBytes)), respond),
 		ReadHeaderTimeout: settings.HeaderTimeout,
 		ReadTimeout:       settings.ReadTimeout,
 		IdleTimeout:       settings.IdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
-	go server.Serve(listener) //nolint:errcheck // Serve ends with the error of Shutdown.
-	return server, nil
+	go server.Serve(listener) //nolint:errcheck // Serve ends when the listener is closed.
+	return server, listener, nil
+}
+
+// closeOnLeave ends each connection with its next answer while the gateway
+// leaves. Otherwise the stop would close idle connections on which a caller
+// may be sending a request at that moment.
+func closeOnLeave(next http.Handler, respond *responder.Responder) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if respond.Leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // drain lets the balancer see that this gateway leaves, then ends every
 // request in flight.
-func drain(settings *loader.Settings, respond *responder.Responder, server *http.Server, log *zap.Logger) {
+func drain(settings *loader.Settings, respond *responder.Responder, server *http.Server, callers net.Listener, log *zap.Logger) {
+	respond.Leave()
 	log.Info("gateway drains", zap.Int64("live", respond.Live()))
 	time.Sleep(settings.LeaveTime)
+	// A request that the server reads after the start of Shutdown is dropped
+	// without an answer, so connections are refused first.
+	callers.Close()
+	time.Sleep(lastRequestTime)
 	ctx, cancel := context.WithTimeout(context.Background(), settings.DrainTime)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
