--- a/failuretests/stop_test.go
+++ b/failuretests/stop_test.go
@@ -1,12 +1,17 @@
 package failuretests_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"jackdawcart.org/failuretests/launcher"
 )
 
+// notReadyBound leaves the balancer most of the leave time of 2 s to see that
+// a gateway stops.
+const notReadyBound = time.Second
+
 // Guards against a planned stop of a gateway that cuts requests, goes on to
 // call itself ready, or ends with an error.
 func TestGracefulStopOfGateways(t *testing.T) {
@@ -16,13 +21,14 @@
 	for _, n := range d.Nodes {
 		name := n.Name + "-gateway"
 		p := d.Process(name)
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			d.eventuallyNotReady(n, p)
-		}()
+		if err := p.Signal(sigterm); err != nil {
+			t.Fatal(err)
+		}
+		d.eventually(notReadyBound, name+" says that it is not ready", func() bool { return !d.ready(n.GatewayAdmin) })
+		if p.Exited() {
+			t.Errorf("%s ended without a time in which it was not ready", name)
+		}
 		d.terminate(name)
-		<-ended
 		if err := d.StartGateway(n); err != nil {
 			t.Fatal(err)
 		}
@@ -33,15 +39,28 @@
 	c.verify()
 }
 
-// eventuallyNotReady checks that a stopping gateway says so before it ends.
-func (d *deployment) eventuallyNotReady(n launcher.Node, p *launcher.Process) {
-	for !p.Exited() {
-		if !d.ready(n.GatewayAdmin) && !p.Exited() {
-			return
-		}
-		time.Sleep(pollPeriod)
+// Guards against a stop that closes an idle connection just when a caller
+// sends a request on it: answers during the leave time must end the connection.
+func TestLeavingGatewayEndsConnections(t *testing.T) {
+	d := deploy(t, launcher.Options{})
+	n := d.Nodes[0]
+	if err := d.Process(n.Name + "-gateway").Signal(sigterm); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually(notReadyBound, "the gateway says that it is not ready", func() bool { return !d.ready(n.GatewayAdmin) })
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.Caller.String()+"/v1/tickets", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Jackdawcart-Caller", "caller")
+	response, err := d.client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusOK || !response.Close {
+		t.Errorf("during the leave time: status %d, connection closed %t", response.StatusCode, response.Close)
 	}
-	d.t.Errorf("%s was ready until it ended", p.Name)
 }
 
 // Guards against a planned stop of a relay that cuts requests of gateways or
@@ -65,10 +84,9 @@
 // Guards against a stop that ends before a long request in flight does.
 func TestGracefulStopWaitsForLongRequests(t *testing.T) {
 	// The request outlasts the leave time of 2 s.
-	const serviceTime = 4 * time.Second
-	d := deploy(t, launcher.Options{Deadline: 9 * time.Second})
+	const serviceTime = 3 * time.Second
+	d := deploy(t, launcher.Options{ServiceTime: serviceTime, Deadline: 9 * time.Second})
 	c := newCallers(d)
-	d.target("*", fault{"kind": "slow", "factor": float64(serviceTime) / float64(d.ServiceTime)})
 	c.pending.Go(func() { c.execute(c.at(0)) })
 	c.pending.Go(func() { c.query(c.at(0)) })
 	d.eventually(startBound, "the requests run", func() bool {
