--- /dev/null
+++ b/core/adminapi/convert.go
@@ -0,0 +1,62 @@
+package adminapi
+
+import (
+	"net/netip"
+
+	"jackdawcart.org/core/messenger/peerpb"
+)
+
+// MemberOf returns the view of a member record.
+func MemberOf(m *peerpb.Member) Member {
+	view := Member{
+		Node:           m.Node,
+		FailureDomain:  m.FailureDomain,
+		State:          stateName(m.State),
+		Incarnation:    m.Incarnation,
+		SessionAddress: address(m.RelayAddress),
+		Gateways:       []Gateway{},
+	}
+	if m.GatewayAddress != "" {
+		view.Gateways = append(view.Gateways, Gateway{
+			Incarnation: m.GatewayIncarnation, SessionAddress: address(m.GatewayAddress), Ready: true,
+		})
+	}
+	return view
+}
+
+func stateName(state peerpb.MemberState) string {
+	switch state {
+	case peerpb.MemberState_MEMBER_STATE_SUSPECT:
+		return MemberSuspect
+	case peerpb.MemberState_MEMBER_STATE_DEAD:
+		return MemberDead
+	case peerpb.MemberState_MEMBER_STATE_LEFT:
+		return MemberLeft
+	default:
+		return MemberAlive
+	}
+}
+
+// address returns the zero value for an address that a peer wrote wrongly.
+func address(text string) netip.AddrPort {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return addr
+}
+
+// PhaseOf returns the state of a target in a phase, and the reason for a state
+// other than serving.
+func PhaseOf(phase peerpb.TargetPhase) (state, reason string) {
+	switch phase {
+	case peerpb.TargetPhase_TARGET_PHASE_SERVING:
+		return TargetServing, ""
+	case peerpb.TargetPhase_TARGET_PHASE_STARTING:
+		return TargetStarting, "the target says that it starts"
+	case peerpb.TargetPhase_TARGET_PHASE_DRAINING:
+		return TargetLeaving, "the target or the platform says that it leaves"
+	default:
+		return TargetLost, "no relay reaches the target"
+	}
+}
--- a/core/administrator/administrator.go
+++ b/core/administrator/administrator.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"jackdawcart.org/core/adminapi"
 )
 
 const (
@@ -45,6 +47,11 @@
 		writeJSON(w, http.StatusOK, map[string]string{"state": "ready"})
 	})
 	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("GET /v1/admin/", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusNotFound, adminapi.Failure{
+			Code: adminapi.CodeNotServed, Message: "this process does not serve " + r.URL.Path,
+		})
+	})
 	return &Server{
 		mux: mux,
 		server: &http.Server{
--- a/gateway/reporter/reporter.go
+++ b/gateway/reporter/reporter.go
@@ -3,7 +3,6 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"strconv"
 	"time"
 
@@ -42,50 +41,11 @@
 func (r *Reporter) Members(*http.Request) any {
 	view := adminapi.Members{Origin: r.at(), Members: []adminapi.Member{}}
 	for _, m := range r.control.Members() {
-		view.Members = append(view.Members, member(m))
+		view.Members = append(view.Members, adminapi.MemberOf(m))
 	}
 	return view
 }
 
-func member(m *peerpb.Member) adminapi.Member {
-	view := adminapi.Member{
-		Node:           m.Node,
-		FailureDomain:  m.FailureDomain,
-		State:          stateName(m.State),
-		Incarnation:    m.Incarnation,
-		SessionAddress: address(m.RelayAddress),
-		Gateways:       []adminapi.Gateway{},
-	}
-	if m.GatewayAddress != "" {
-		view.Gateways = append(view.Gateways, adminapi.Gateway{
-			Incarnation: m.GatewayIncarnation, SessionAddress: address(m.GatewayAddress), Ready: true,
-		})
-	}
-	return view
-}
-
-func stateName(state peerpb.MemberState) string {
-	switch state {
-	case peerpb.MemberState_MEMBER_STATE_SUSPECT:
-		return adminapi.MemberSuspect
-	case peerpb.MemberState_MEMBER_STATE_DEAD:
-		return adminapi.MemberDead
-	case peerpb.MemberState_MEMBER_STATE_LEFT:
-		return adminapi.MemberLeft
-	default:
-		return adminapi.MemberAlive
-	}
-}
-
-// address returns the zero value for an address that a peer wrote wrongly.
-func address(text string) netip.AddrPort {
-	addr, err := netip.ParseAddrPort(text)
-	if err != nil {
-		return netip.AddrPort{}
-	}
-	return addr
-}
-
 // Targets shows the targets of all services.
 func (r *Reporter) Targets(*http.Request) any {
 	view := adminapi.Targets{Origin: r.at(), Targets: []adminapi.Target{}}
@@ -109,23 +69,10 @@
 		FailureDomain: replica.FailureDomain, Owners: replica.Owners, Slots: replica.Slots,
 		Snapshots: replica.SnapshotIDs(),
 	}
-	view.State, view.Reason = phaseName(replica)
+	view.State, view.Reason = adminapi.PhaseOf(replica.Phase)
 	return view
 }
 
-func phaseName(replica *planner.Replica) (state, reason string) {
-	switch replica.Phase {
-	case peerpb.TargetPhase_TARGET_PHASE_SERVING:
-		return adminapi.TargetServing, ""
-	case peerpb.TargetPhase_TARGET_PHASE_STARTING:
-		return adminapi.TargetStarting, "the target says that it starts"
-	case peerpb.TargetPhase_TARGET_PHASE_DRAINING:
-		return adminapi.TargetLeaving, "the target or the platform says that it leaves"
-	default:
-		return adminapi.TargetLost, "no relay reaches the target"
-	}
-}
-
 // Configuration shows the documents in force.
 func (r *Reporter) Configuration(*http.Request) any {
 	revision, confirmed := r.control.Configuration()
--- a/gateway/responder/query.go
+++ b/gateway/responder/query.go
@@ -46,6 +46,7 @@
 	ended := r.config.Timers.Now()
 	r.done(ended, priority, !answer.Overloaded)
 	r.record(planned, answer, ended.Sub(started))
+	r.config.Mirror.Answered(planned, answer)
 	return r.reply(request, planned, answer)
 }
 
--- a/gateway/responder/responder.go
+++ b/gateway/responder/responder.go
@@ -17,6 +17,7 @@
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/gateway/issuer"
+	"jackdawcart.org/gateway/mirrorer"
 )
 
 // Control is what the gateway knows from its relays.
@@ -32,6 +33,7 @@
 	Engine  *scatterer.Engine
 	Control Control
 	Issuer  *issuer.Issuer
+	Mirror  *mirrorer.Mirrorer
 	Tracer  *tracer.Tracer
 	Metrics tally.Scope
 	Log     *zap.Logger
--- a/gateway/runner/run.go
+++ b/gateway/runner/run.go
@@ -28,6 +28,7 @@
 	"jackdawcart.org/gateway/courier"
 	"jackdawcart.org/gateway/executor"
 	"jackdawcart.org/gateway/issuer"
+	"jackdawcart.org/gateway/mirrorer"
 	"jackdawcart.org/gateway/reporter"
 	"jackdawcart.org/gateway/responder"
 	"jackdawcart.org/gateway/subscriber"
@@ -86,7 +87,7 @@
 	subscribe.OnRelay(carry.Warm)
 	respond := responder.New(responder.Config{
 		Timers: timers, Table: table, Engine: engine, Control: subscribe, Tracer: spans,
-		Issuer: issue, TicketExpiry: settings.TicketExpiry,
+		Issuer: issue, Mirror: mirrorer.New(engine, timers, metrics.Scope, log), TicketExpiry: settings.TicketExpiry,
 		Metrics: metrics.Scope, Log: log, MaxQueries: settings.MaxQueries,
 	})
 	admin := administrator.New(func() (bool, string) { return ready(subscribe, respond) }, metrics.Handler)
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -42,7 +42,9 @@
 	Address       netip.AddrPort
 	FailureDomain string
 	Slots         int
-	Allotment     int
+	// Connections is the number that the target accepts from all relays.
+	Connections int
+	Allotment   int
 	// Owners is the number of relays that share the target.
 	Owners int
 }
@@ -122,6 +124,25 @@
 	return c.leaving.Has(t.Name) || c.leaving.Has(t.Address.String())
 }
 
+// Connections is what a relay holds at one target.
+type Connections struct {
+	Limit     int
+	Allotment int
+	Load      *peerpb.TargetLoad
+}
+
+// Connections returns what the relay holds at each owned target.
+func (c *Connector) Connections() map[netip.AddrPort]Connections {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := make(map[netip.AddrPort]Connections, len(c.owned))
+	for address, owned := range c.owned {
+		load, _ := c.dispatcher.Load(address.String())
+		held[address] = Connections{Limit: owned.config.Connections, Allotment: owned.config.Allotment, Load: load}
+	}
+	return held
+}
+
 // Owned returns the number of owned targets.
 func (c *Connector) Owned() int {
 	c.mu.Lock()
--- a/relay/controller/ownership.go
+++ b/relay/controller/ownership.go
@@ -45,7 +45,7 @@
 				if n := o.portions(t.Address); n > 0 {
 					targets = append(targets, connector.Target{
 						Service: doc.Service, Set: set.Name, Name: t.Name, Address: t.Address,
-						FailureDomain: t.FailureDomain, Slots: t.Slots,
+						FailureDomain: t.FailureDomain, Slots: t.Slots, Connections: t.Connections,
 						Allotment: n * max(t.Connections/limitShare, 1), Owners: min(portions, len(o.live)),
 					})
 				}
--- /dev/null
+++ b/relay/reporter/reporter.go
@@ -0,0 +1,126 @@
+// Package reporter shows operators what a relay knows.
+package reporter
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"jackdawcart.org/core/adminapi"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/parser"
+	"jackdawcart.org/relay/connector"
+	"jackdawcart.org/relay/controller"
+)
+
+// Control gives the control state.
+type Control interface {
+	View() controller.View
+}
+
+// Targets gives the states of all targets of the failure domain.
+type Targets interface {
+	Targets() []*peerpb.TargetState
+}
+
+// Connections gives what the relay holds at its own targets.
+type Connections interface {
+	Connections() map[netip.AddrPort]connector.Connections
+}
+
+// Reporter builds the views of a relay.
+type Reporter struct {
+	origin      adminapi.Origin
+	control     Control
+	targets     Targets
+	connections Connections
+}
+
+// New returns a reporter of the process that origin names.
+func New(origin adminapi.Origin, control Control, targets Targets, connections Connections) *Reporter {
+	return &Reporter{origin: origin, control: control, targets: targets, connections: connections}
+}
+
+func (r *Reporter) at() adminapi.Origin {
+	origin := r.origin
+	origin.At = time.Now()
+	return origin
+}
+
+// Members shows the nodes of the failure domain.
+func (r *Reporter) Members(*http.Request) any {
+	view := adminapi.Members{Origin: r.at(), Members: []adminapi.Member{}}
+	for _, m := range r.control.View().Members {
+		view.Members = append(view.Members, adminapi.MemberOf(m))
+	}
+	return view
+}
+
+// Configuration shows the documents in force.
+func (r *Reporter) Configuration(*http.Request) any {
+	control := r.control.View()
+	view := adminapi.Configuration{
+		Origin: r.at(), Revision: control.Revision, NewestHeard: control.Revision,
+		Reader: control.Reader, Source: source(control), Age: parser.Duration(control.Age),
+		Services: []adminapi.Service{},
+	}
+	for _, d := range control.Documents {
+		service := adminapi.Service{Service: d.Service, Revision: d.Revision, Deleted: d.Deleted}
+		if doc, err := parser.Parse(d.Body); err == nil {
+			service.Edit = doc.Edit
+		}
+		view.Services = append(view.Services, service)
+	}
+	return view
+}
+
+func source(control controller.View) string {
+	switch {
+	case !control.Confirmed:
+		return adminapi.SourceNone
+	case control.Reader:
+		return adminapi.SourceStore
+	default:
+		return adminapi.SourcePeer
+	}
+}
+
+// Targets shows the targets of the failure domain as their owners report them,
+// with the load of those that this relay owns.
+func (r *Reporter) Targets(*http.Request) any {
+	view := adminapi.Targets{Origin: r.at(), Targets: []adminapi.Target{}}
+	own := r.connections.Connections()
+	for _, state := range r.targets.Targets() {
+		if state.Phase == peerpb.TargetPhase_TARGET_PHASE_UNKNOWN {
+			continue
+		}
+		target := targetOf(state)
+		if held, ok := own[target.Address]; ok && state.Relay == r.origin.Node {
+			addLoad(&target, held)
+		}
+		view.Targets = append(view.Targets, target)
+	}
+	return view
+}
+
+func targetOf(state *peerpb.TargetState) adminapi.Target {
+	target := adminapi.Target{
+		Service: state.Service, Set: state.Set, Name: state.Target, FailureDomain: state.FailureDomain,
+		Owners: []string{state.Relay}, Slots: int(state.Slots), Snapshots: []string{},
+	}
+	// An address that a peer wrote wrongly is shown as the zero value.
+	target.Address, _ = netip.ParseAddrPort(state.Address)
+	target.State, target.Reason = adminapi.PhaseOf(state.Phase)
+	for _, s := range state.Snapshots {
+		target.Snapshots = append(target.Snapshots, s.Id)
+	}
+	return target
+}
+
+func addLoad(target *adminapi.Target, held connector.Connections) {
+	target.Connections = adminapi.Connections{Limit: held.Limit, Allotment: held.Allotment}
+	target.InFlight = int(held.Load.GetInFlight())
+	target.Queued = int(held.Load.GetQueued())
+	target.Limit = int(held.Load.GetLimit())
+	target.LatencyP50 = parser.Duration(held.Load.GetRecentLatency().AsDuration())
+}
--- a/relay/runner/run.go
+++ b/relay/runner/run.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/acceptor"
+	"jackdawcart.org/core/adminapi"
 	"jackdawcart.org/core/administrator"
 	"jackdawcart.org/core/dispatcher"
 	"jackdawcart.org/core/keeper"
@@ -23,6 +24,7 @@
 	"jackdawcart.org/relay/controller"
 	"jackdawcart.org/relay/forwarder"
 	"jackdawcart.org/relay/publisher"
+	"jackdawcart.org/relay/reporter"
 )
 
 const (
@@ -61,6 +63,12 @@
 		Peers: peers, Publisher: publish, Connector: connect, Log: log,
 	})
 	admin := administrator.New(func() (bool, string) { return control.Ready(), "no configuration in force" }, metrics.Handler)
+	report := reporter.New(adminapi.Origin{
+		Node: settings.Node, Process: process, FailureDomain: settings.FailureDomain,
+	}, control, publish, connect)
+	admin.Show("members", report.Members)
+	admin.Show("targets", report.Targets)
+	admin.Show("configuration", report.Configuration)
 	if err := admin.Listen(ctx, settings.AdminAddress); err != nil {
 		return err
 	}
