--- a/core/administrator/administrator.go
+++ b/core/administrator/administrator.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"time"
 
@@ -16,6 +17,8 @@
 const (
 	headerTimeout  = 2 * time.Second
 	requestTimeout = 10 * time.Second
+	// answerTimeout leaves time for a profile.
+	answerTimeout = time.Minute
 	maxHeaderBytes = 16 << 10
 )
 
@@ -47,6 +50,8 @@
 		writeJSON(w, http.StatusOK, map[string]string{"state": "ready"})
 	})
 	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /v1/admin/", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, http.StatusNotFound, adminapi.Failure{
 			Code: adminapi.CodeNotServed, Message: "this process does not serve " + r.URL.Path,
@@ -58,7 +63,7 @@
 			Handler:           mux,
 			ReadHeaderTimeout: headerTimeout,
 			ReadTimeout:       requestTimeout,
-			WriteTimeout:      requestTimeout,
+			WriteTimeout:      answerTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 	}
--- a/loadtool/command.go
+++ b/loadtool/command.go
@@ -44,6 +44,7 @@
 				Flags:  []cli.Flag{out},
 				Action: report,
 			},
+			newCompareCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/loadtool/comparer/error.go
@@ -0,0 +1,25 @@
+package comparer
+
+import "fmt"
+
+// Kind classifies an error of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindUnreachable Kind = "unreachable"
+	KindMalformed   Kind = "malformed"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the message, prefixed with its origin.
+func (e *Error) Error() string { return fmt.Sprintf("comparer: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/loadtool/comparer/usage.go
@@ -0,0 +1,64 @@
+package comparer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+)
+
+// maxMetricsSize bounds what is read from a metrics endpoint, in bytes.
+const maxMetricsSize = 4 << 20
+
+// usage is what processes have used since they started.
+type usage struct {
+	// cpu is in seconds, as the metrics endpoint gives it.
+	cpu         float64
+	allocations float64
+}
+
+func readUsage(ctx context.Context, admin []netip.AddrPort) (usage, error) {
+	var total usage
+	for _, addr := range admin {
+		one, err := readOne(ctx, addr)
+		if err != nil {
+			return usage{}, err
+		}
+		total.cpu += one.cpu
+		total.allocations += one.allocations
+	}
+	return total, nil
+}
+
+func readOne(ctx context.Context, addr netip.AddrPort) (usage, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/metrics", nil)
+	if err != nil {
+		return usage{}, &Error{Op: "read-metrics", Kind: KindUnreachable, Err: err}
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return usage{}, &Error{Op: "read-metrics", Kind: KindUnreachable, Err: err}
+	}
+	defer response.Body.Close()
+	var u usage
+	lines := bufio.NewScanner(io.LimitReader(response.Body, maxMetricsSize))
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		switch name {
+		case "process_cpu_seconds_total":
+			u.cpu, err = strconv.ParseFloat(value, 64)
+		case "go_memstats_mallocs_total":
+			u.allocations, err = strconv.ParseFloat(value, 64)
+		}
+		if err != nil {
+			return usage{}, &Error{Op: "read-metrics", Kind: KindMalformed, Err: err}
+		}
+	}
+	if u.cpu == 0 {
+		return usage{}, &Error{Op: "read-metrics", Kind: KindMalformed, Err: lines.Err()}
+	}
+	return u, nil
+}
