--- /dev/null
+++ b/core/assigner/view.go
@@ -0,0 +1,98 @@
+package assigner
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// View is the set of live members by which owners are chosen.
+type View struct {
+	members []ranked
+}
+
+// NewView returns the view of the given live members.
+func NewView(members []string) View {
+	names := slices.Clone(members)
+	slices.Sort(names)
+	names = slices.Compact(names)
+	v := View{members: make([]ranked, len(names))}
+	for i, name := range names {
+		v.members[i] = ranked{name: name, hash: xxhash.Sum64String(name)}
+	}
+	return v
+}
+
+// Owner returns the owner of a portion of a target, or an empty name when there
+// is no live member.
+func (v View) Owner(target string, portion uint32) string {
+	return v.owner(portionKey(target, portion))
+}
+
+// Owners returns the distinct owners of a target with the given limit.
+func (v View) Owners(target string, limit int) []string {
+	var owners []string
+	for portion := range Portions(limit) {
+		owner := v.Owner(target, portion)
+		if owner != "" && !slices.Contains(owners, owner) {
+			owners = append(owners, owner)
+		}
+	}
+	return owners
+}
+
+func (v View) equal(other View) bool { return slices.Equal(v.members, other.members) }
+
+// owner returns the member with the highest hash. Of equal hashes the first
+// name wins, because members are sorted.
+func (v View) owner(key uint64) string {
+	name, best := "", uint64(0)
+	for _, m := range v.members {
+		if hash := score(key, m.hash); name == "" || hash > best {
+			name, best = m.name, hash
+		}
+	}
+	return name
+}
+
+func portionKey(target string, portion uint32) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(uint64(portion))
+	_, _ = digest.WriteString(target)
+	return digest.Sum64()
+}
+
+// Two views that differ may give each portion two owners, so an allotment is
+// at most a quarter of the limit of a target with two portions. Below a limit
+// of 4 that is less than one connection: such a target has one portion of one
+// connection. A limit of 1 leaves no connection that two views could not
+// open twice, so the target gets none.
+const (
+	portions          = 2
+	views             = 2
+	minLimitOfTwo     = portions * views
+	minLimitOfOne     = views
+	allotmentDivision = portions * views
+)
+
+// Portions returns the number of portions into which a limit is divided.
+func Portions(limit int) uint32 {
+	switch {
+	case limit >= minLimitOfTwo:
+		return portions
+	case limit >= minLimitOfOne:
+		return 1
+	}
+	return 0
+}
+
+// PortionAllotment returns the number of connections of each portion.
+func PortionAllotment(limit int) int {
+	switch {
+	case limit >= minLimitOfTwo:
+		return limit / allotmentDivision
+	case limit >= minLimitOfOne:
+		return 1
+	}
+	return 0
+}
