Let a process listen at another address than its own

Behind a translation of addresses, the address that others dial and gossip about is not the one that the VM can listen at. The failure tests need the same to put a proxy before every process: the addresses that gossip carries bypassed proxies that only the seeds named.

--- a/core/loader/settings.go
+++ b/core/loader/settings.go
@@ -19,6 +19,9 @@
 	CallerAddress netip.AddrPort `json:"caller-address"`
 	// SessionAddress accepts sessions from other jackdawcart processes.
 	SessionAddress netip.AddrPort `json:"session-address"`
+	// SessionListenAddress is where the process listens for sessions if others
+	// reach it at SessionAddress through a translation of addresses.
+	SessionListenAddress netip.AddrPort `json:"session-listen-address"`
 	// AdminAddress serves health, readiness, metrics and views for operators.
 	AdminAddress netip.AddrPort `json:"admin-address"`
 
@@ -65,6 +68,14 @@
 	MaxBodyBytes         int `json:"max-body-bytes"`
 }
 
+// SessionListener returns the address at which to listen for sessions.
+func (s *Settings) SessionListener() netip.AddrPort {
+	if s.SessionListenAddress.IsValid() {
+		return s.SessionListenAddress
+	}
+	return s.SessionAddress
+}
+
 // Neighbour names relays of another failure domain.
 type Neighbour struct {
 	FailureDomain string           `json:"failure-domain"`
--- a/gateway/runner/run.go
+++ b/gateway/runner/run.go
@@ -114,7 +114,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go subscribe.Run(work)
-	listener, err := acceptor.Listen(ctx, settings.SessionAddress)
+	listener, err := acceptor.Listen(ctx, settings.SessionListener())
 	if err != nil {
 		return err
 	}
--- a/relay/runner/run.go
+++ b/relay/runner/run.go
@@ -72,7 +72,7 @@
 	if err := admin.Listen(ctx, settings.AdminAddress); err != nil {
 		return err
 	}
-	listener, err := acceptor.Listen(ctx, settings.SessionAddress)
+	listener, err := acceptor.Listen(ctx, settings.SessionListener())
 	if err != nil {
 		return err
 	}
