Believe a target that refuses work as draining over its status

A relay took the phase of a target from its status alone. When the status lags or lies, a target that answers 503 draining went on to get work: 51 requests in the 3 s after the 3 s in which it must have stopped, at 50 queries/s (TestLeavingTarget/answers). An answer now outweighs a status of serving for 30 s or until the status has changed.

--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -30,6 +30,10 @@
 	// lostAfter is the number of failed status calls after which a target
 	// counts as lost.
 	lostAfter = 2
+	// refusalHold is how long a target that refused work as draining counts as
+	// leaving although its status says that it serves. A drain takes about as
+	// long.
+	refusalHold = 30 * time.Second
 	// warmConnections are opened ahead of demand by concurrent status calls.
 	warmConnections = 2
 )
--- a/relay/connector/target.go
+++ b/relay/connector/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,10 @@
 	// poll asks for a status call at once.
 	poll chan struct{}
 
+	// refused is when an answer last said that the target drains, in Unix
+	// nanoseconds. The status may lag behind it.
+	refused atomic.Int64
+
 	state    *peerpb.TargetState
 	failures int
 	sequence uint64
@@ -28,6 +33,9 @@
 
 // jobEnded asks for a status call when a job shows that the known state is old.
 func (o *ownedTarget) jobEnded(result dispatcher.Result) {
+	if result.Failure == peerpb.FailureKind_FAILURE_DRAINING {
+		o.refused.Store(time.Now().UnixNano())
+	}
 	switch result.Failure {
 	case peerpb.FailureKind_FAILURE_SNAPSHOT_GONE, peerpb.FailureKind_FAILURE_DRAINING,
 		peerpb.FailureKind_FAILURE_UNREACHABLE, peerpb.FailureKind_FAILURE_LOST:
@@ -82,7 +90,20 @@
 		return
 	}
 	o.failures = 0
-	o.publish(phaseOf(status.State), status.Snapshots)
+	o.publish(o.believe(phaseOf(status.State)), status.Snapshots)
+}
+
+// believe lets an answer that said "draining" outweigh a status of serving,
+// until the status has changed or the answer is old.
+func (o *ownedTarget) believe(phase peerpb.TargetPhase) peerpb.TargetPhase {
+	if phase != peerpb.TargetPhase_TARGET_PHASE_SERVING {
+		o.refused.Store(0)
+		return phase
+	}
+	if time.Since(time.Unix(0, o.refused.Load())) < refusalHold {
+		return peerpb.TargetPhase_TARGET_PHASE_DRAINING
+	}
+	return phase
 }
 
 func phaseOf(state string) peerpb.TargetPhase {
