--- a/failuretests/launcher/cluster.go
+++ b/failuretests/launcher/cluster.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,7 +59,6 @@
 	mu        sync.Mutex
 	processes map[string]*Process
 	started   []*Process
-	proxied   map[netip.AddrPort]netip.AddrPort
 }
 
 // New prepares a deployment in a directory without starting a process.
@@ -68,7 +68,6 @@
 		ip:        randomLoopback(),
 		ControlOf: make(map[string]netip.AddrPort),
 		processes: make(map[string]*Process),
-		proxied:   make(map[netip.AddrPort]netip.AddrPort),
 	}
 	c.Platform = c.address(portPlatform)
 	c.placeNodes()
@@ -126,36 +125,65 @@
 	}
 }
 
-// startProxies puts a proxy before the platform, the relays of the cut domain
-// and the relays of all others.
+// startProxies puts a proxy before the platform, as the cut domain sees it,
+// and before the sessions of every process, at the addresses that gossip
+// carries. Only connections over the border of the domain can be cut.
 func (c *Cluster) startProxies() error {
 	if c.Cut == "" {
 		return nil
 	}
-	behind := []netip.AddrPort{c.Platform}
-	for _, n := range c.Nodes {
-		behind = append(behind, n.Relay)
+	always := func(netip.AddrPort) bool { return true }
+	if err := c.addProxy(c.address(portProxies), c.Platform, always); err != nil {
+		return err
 	}
-	for i, target := range behind {
-		listen := c.address(portProxies + i)
-		p, err := NewProxy(listen, target)
+	for i, n := range c.Nodes {
+		crosses := func(client netip.AddrPort) bool {
+			origin, ok := c.originOf(client)
+			return !ok || (c.domainOf(origin) == c.Cut) != (n.Domain == c.Cut)
+		}
+		err := errors.Join(
+			c.addProxy(n.Relay, c.listener(i, n.Relay), crosses),
+			c.addProxy(n.Gateway, c.listener(i, n.Gateway), crosses),
+		)
 		if err != nil {
 			return err
 		}
-		c.Proxies = append(c.Proxies, p)
-		c.proxied[target] = listen
 	}
 	return nil
 }
 
-// route returns the address at which a process of one domain reaches a server
-// of another domain; an empty domain is that of the platform.
-func (c *Cluster) route(from, to string, server netip.AddrPort) netip.AddrPort {
-	proxy, ok := c.proxied[server]
-	if !ok || from == to || (from != c.Cut && to != c.Cut) {
-		return server
+func (c *Cluster) addProxy(listen, target netip.AddrPort, crosses func(netip.AddrPort) bool) error {
+	p, err := NewProxy(listen, target, crosses)
+	if err != nil {
+		return err
+	}
+	c.Proxies = append(c.Proxies, p)
+	return nil
+}
+
+// listener returns where a process listens whose address a proxy has taken.
+func (c *Cluster) listener(node int, address netip.AddrPort) netip.AddrPort {
+	if c.Cut == "" {
+		return address
+	}
+	return c.address(portProxies + portsOfNode*(node+1) + int(address.Port())%portsOfNode)
+}
+
+func (c *Cluster) domainOf(p *Process) string {
+	for _, n := range c.Nodes {
+		if strings.HasPrefix(p.Name, n.Name+"-") {
+			return n.Domain
+		}
+	}
+	return ""
+}
+
+// platformOf returns the address of the platform for a failure domain.
+func (c *Cluster) platformOf(domain string) netip.AddrPort {
+	if c.Cut != "" && domain == c.Cut {
+		return c.address(portProxies)
 	}
-	return proxy
+	return c.Platform
 }
 
 func (c *Cluster) writeFiles() error {
@@ -174,28 +202,32 @@
 	if err := os.WriteFile(filepath.Join(documents, Service+".json"), text, 0o600); err != nil {
 		return err
 	}
-	for _, n := range c.Nodes {
-		if err := c.writeSettings(n); err != nil {
+	for i, n := range c.Nodes {
+		if err := c.writeSettings(i, n); err != nil {
 			return err
 		}
 	}
 	return c.writeTargets()
 }
 
-func (c *Cluster) writeSettings(n Node) error {
+func (c *Cluster) writeSettings(i int, n Node) error {
 	settings := map[string]any{
 		"node": n.Name, "region": "tests", "failure-domain": n.Domain,
-		"platform-address": c.route(n.Domain, "", c.Platform), "key-file": c.KeyFile,
+		"platform-address": c.platformOf(n.Domain), "key-file": c.KeyFile,
 		"relays": c.relays(n), "neighbours": c.neighbours(n),
 	}
+	// A stalled machine must not make a gateway take a caller for a slow one.
+	settings["header-timeout"] = "30s"
 	for key, value := range c.Settings {
 		settings[key] = value
 	}
 	settings["session-address"], settings["admin-address"] = n.Relay, n.RelayAdmin
+	settings["session-listen-address"] = c.listener(i, n.Relay)
 	if err := c.writeJSON(n.Name+"-relay.json", settings); err != nil {
 		return err
 	}
 	settings["session-address"], settings["admin-address"] = n.Gateway, n.GatewayAdmin
+	settings["session-listen-address"] = c.listener(i, n.Gateway)
 	settings["caller-address"] = n.Caller
 	return c.writeJSON(n.Name+"-gateway.json", settings)
 }
@@ -220,7 +252,7 @@
 		var relays []netip.AddrPort
 		for _, other := range c.Nodes {
 			if other.Domain == domain {
-				relays = append(relays, c.route(n.Domain, domain, other.Relay))
+				relays = append(relays, other.Relay)
 			}
 		}
 		neighbours = append(neighbours, map[string]any{"failure-domain": domain, "relays": relays})
@@ -233,6 +265,9 @@
 	targets := describer.FromDocument(c.Document, c.Shards)
 	for i := range targets {
 		targets[i].ServiceTime.Median = describer.Duration(c.ServiceTime)
+		if c.ColdStart.For > 0 {
+			targets[i].ColdStart = c.ColdStart
+		}
 	}
 	size := len(targets)
 	if c.SeparateTargets {
--- a/failuretests/launcher/options.go
+++ b/failuretests/launcher/options.go
@@ -1,6 +1,10 @@
 package launcher
 
-import "time"
+import (
+	"time"
+
+	"jackdawcart.org/targetstandin/describer"
+)
 
 // Service is the name of the one service that a deployment has.
 const Service = "library"
@@ -19,12 +23,14 @@
 	Shards int
 	// ServiceTime is the median service time of the targets.
 	ServiceTime time.Duration
+	// ColdStart slows the targets after their start.
+	ColdStart describer.ColdStart
 	// Deadline is the deadline of the service.
 	Deadline time.Duration
 	// SeparateTargets runs each target in its own process.
 	SeparateTargets bool
-	// Cut names a failure domain whose processes reach the platform and the
-	// relays of other domains through proxies, and are reached through them.
+	// Cut names a failure domain that can be cut off from the platform and from
+	// the other domains.
 	Cut string
 	// Settings are added to the settings file of every process.
 	Settings map[string]any
--- a/failuretests/launcher/proxy.go
+++ b/failuretests/launcher/proxy.go
@@ -22,25 +22,29 @@
 	BlackHole
 )
 
-// Proxy forwards TCP connections to one address and can cut them.
+// Proxy forwards TCP connections to one address and can cut those that cross
+// the border of the cut failure domain.
 type Proxy struct {
 	target   netip.AddrPort
 	listener net.Listener
+	// crosses tells whether a client's connection can be cut.
+	crosses func(client netip.AddrPort) bool
 
 	mu      sync.Mutex
 	changed *sync.Cond
 	mode    Mode
 	closed  bool
-	conns   map[*net.TCPConn]struct{}
+	// conns holds the open connections, and whether they can be cut.
+	conns map[*net.TCPConn]bool
 }
 
 // NewProxy starts a proxy that listens at an address.
-func NewProxy(listen, target netip.AddrPort) (*Proxy, error) {
+func NewProxy(listen, target netip.AddrPort, crosses func(client netip.AddrPort) bool) (*Proxy, error) {
 	listener, err := net.Listen("tcp", listen.String())
 	if err != nil {
 		return nil, fmt.Errorf("launcher: proxy: %w", err)
 	}
-	p := &Proxy{target: target, listener: listener, conns: make(map[*net.TCPConn]struct{})}
+	p := &Proxy{target: target, listener: listener, crosses: crosses, conns: make(map[*net.TCPConn]bool)}
 	p.changed = sync.NewCond(&p.mu)
 	go p.acceptAll()
 	return p, nil
@@ -55,7 +59,7 @@
 		return
 	}
 	if mode == Refuse || p.mode == BlackHole {
-		p.resetAll()
+		p.resetAll(func(crosses bool) bool { return crosses })
 	}
 	p.mode = mode
 	p.changed.Broadcast()
@@ -67,15 +71,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	p.resetAll()
+	p.resetAll(func(bool) bool { return true })
 	p.changed.Broadcast()
 }
 
-func (p *Proxy) resetAll() {
-	for c := range p.conns {
-		reset(c)
+func (p *Proxy) resetAll(which func(crosses bool) bool) {
+	for c, crosses := range p.conns {
+		if which(crosses) {
+			reset(c)
+			delete(p.conns, c)
+		}
 	}
-	clear(p.conns)
 }
 
 func reset(c *net.TCPConn) {
@@ -95,7 +101,8 @@
 }
 
 func (p *Proxy) serve(client *net.TCPConn) {
-	if !p.add(client) {
+	crosses := p.crosses(client.RemoteAddr().(*net.TCPAddr).AddrPort())
+	if !p.add(client, crosses) {
 		reset(client)
 		return
 	}
@@ -108,7 +115,7 @@
 		return
 	}
 	server := dialed.(*net.TCPConn)
-	if !p.add(server) {
+	if !p.add(server, crosses) {
 		reset(server)
 		return
 	}
@@ -138,23 +145,20 @@
 func (p *Proxy) pass(c *net.TCPConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.mode == BlackHole && !p.closed {
-		if _, open := p.conns[c]; !open {
-			return false
-		}
+	for p.mode == BlackHole && p.conns[c] && !p.closed {
 		p.changed.Wait()
 	}
 	_, open := p.conns[c]
 	return open
 }
 
-func (p *Proxy) add(c *net.TCPConn) bool {
+func (p *Proxy) add(c *net.TCPConn, crosses bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.mode == Refuse || p.closed {
+	if p.closed || crosses && p.mode == Refuse {
 		return false
 	}
-	p.conns[c] = struct{}{}
+	p.conns[c] = crosses
 	return true
 }
 
