Hand portions of target connections over between relays

The relay drives the assigner: it reports open connections, opens what its portions allow and closes the excess. The pool keeps to an allotment that may change under load, by a gate at the dialling of connections.

--- a/core/administrator/administrator.go
+++ b/core/administrator/administrator.go
@@ -18,7 +18,7 @@
 	headerTimeout  = 2 * time.Second
 	requestTimeout = 10 * time.Second
 	// answerTimeout leaves time for a profile.
-	answerTimeout = time.Minute
+	answerTimeout  = time.Minute
 	maxHeaderBytes = 16 << 10
 )
 
--- a/core/planner/table.go
+++ b/core/planner/table.go
@@ -133,6 +133,16 @@
 	return t.view.Load().replicas[setKey{service, set}]
 }
 
+// Serving reports whether any target takes new work.
+func (t *Table) Serving() bool {
+	for _, replicas := range t.view.Load().replicas {
+		if slices.ContainsFunc(replicas, usable) {
+			return true
+		}
+	}
+	return false
+}
+
 // Put brings a document into force, unless a newer revision already is.
 func (t *Table) Put(doc *parser.Document, revision uint64, now time.Time) {
 	t.put(doc.Service, &Service{Document: doc, Revision: revision, AppliedAt: now}, now)
--- a/core/pooler/error.go
+++ b/core/pooler/error.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
 	"jackdawcart.org/core/messenger/peerpb"
 )
@@ -45,7 +44,6 @@
 	Op      string
 	Kind    Kind
 	Outcome peerpb.Outcome
-	Waited  time.Duration
 	Err     error
 }
 
--- a/core/pooler/pool.go
+++ b/core/pooler/pool.go
@@ -29,6 +29,8 @@
 	silentFactor    = 10
 	shortestSilence = 100 * time.Millisecond
 	idleTimeout     = 90 * time.Second
+	// maxIdleConnections is above any allotment; the gate is what limits.
+	maxIdleConnections = 1024
 	// executeConnections of the allotment are kept for requests that must not
 	// use a pooled connection.
 	executeConnections = 1
@@ -124,40 +126,77 @@
 type Pool struct {
 	config  Config
 	base    string
+	gate    *gate
 	pooled  *http.Transport
 	single  *http.Transport
 	answers atomic.Int64
 	latency atomic.Int64
 	silent  atomic.Int64
 	opened  atomic.Int64
+	refused atomic.Int64
 }
 
 // New returns a pool without open connections.
 func New(config Config) *Pool {
-	p := &Pool{config: config, base: "http://" + config.Address.String()}
-	p.pooled = p.transport(max(config.Allotment-executeConnections, 1))
-	p.single = p.transport(executeConnections)
+	p := &Pool{config: config, base: "http://" + config.Address.String(), gate: newGate(config.Allotment)}
+	p.pooled = p.transport(executeConnections)
+	p.single = p.transport(0)
 	p.single.DisableKeepAlives = true
 	return p
 }
 
-func (p *Pool) transport(connections int) *http.Transport {
+// transport returns a transport whose connections leave the reserve free.
+func (p *Pool) transport(reserve int) *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			p.opened.Add(1)
-			return dialer.DialContext(ctx, network, addr)
+			return p.dial(ctx, dialer, reserve, network, addr)
 		},
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
+		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 }
 
+func (p *Pool) dial(ctx context.Context, dialer *net.Dialer, reserve int, network, addr string) (net.Conn, error) {
+	if reserve == 0 && p.gate.full() {
+		p.pooled.CloseIdleConnections()
+	}
+	if err := p.gate.acquire(ctx, reserve); err != nil {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+	}
+	p.opened.Add(1)
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		p.gate.release()
+		return nil, err
+	}
+	return &gatedConn{Conn: conn, gate: p.gate}, nil
+}
+
+// SetAllotment changes the most connections that may be open. Idle ones are
+// closed at once when there are too many, busy ones as their requests end.
+func (p *Pool) SetAllotment(allotment int) {
+	p.gate.set(allotment)
+	p.closeExcess()
+}
+
+func (p *Pool) closeExcess() {
+	if p.gate.excess() {
+		p.pooled.CloseIdleConnections()
+	}
+}
+
+// Open returns the number of open connections.
+func (p *Pool) Open() int { return p.gate.count() }
+
 // Opened returns the number of connections that have been opened.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
 
+// Refused returns the number of new connections that the target closed before
+// it answered anything, as it does above its limit.
+func (p *Pool) Refused() int64 { return p.refused.Load() }
+
 // Silent returns the number of connections found silent.
 func (p *Pool) Silent() int64 { return p.silent.Load() }
 
@@ -192,11 +231,19 @@
 func (p *Pool) guarded(ctx context.Context, deadline time.Time, search *Search, answer *SearchAnswer) error {
 	request, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(cancelGrace))
 	defer cancel()
+	// The wait for a connection says nothing about silence, so the watch counts
+	// from the moment that one was handed over.
+	var connected atomic.Pointer[time.Time]
+	request = httptrace.WithClientTrace(request, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			now := time.Now()
+			connected.Store(&now)
+		},
+	})
 	done := make(chan finished, 1)
 	go func() {
 		done <- finished{p.post(request, p.pooled, "/v1/search", deadline, search.Traceparent, search, answer)}
 	}()
-	started := time.Now()
 	before := p.answers.Load()
 	watch := time.NewTimer(p.silentAfter())
 	defer watch.Stop()
@@ -207,21 +254,39 @@
 		case <-ctx.Done():
 			return p.giveUp(cancel, done, search)
 		case <-watch.C:
-			if p.answers.Load() == before {
+			if wait := p.untilSilent(connected.Load()); wait > 0 {
+				watch.Reset(wait)
+				continue
+			}
+			if answers := p.answers.Load(); answers == before {
+				before = answers
 				watch.Reset(p.silentAfter())
-				before = p.answers.Load()
 				continue
 			}
-			p.silent.Add(1)
-			cancel()
-			<-done
-			// Connections that idled as long as this one are as suspect.
-			p.pooled.CloseIdleConnections()
-			return &Error{Op: "search", Kind: KindSilent, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Waited: time.Since(started)}
+			return p.abandonSilent(cancel, done)
 		}
 	}
 }
 
+// untilSilent returns how long a connection may still take to answer. The
+// limit is computed anew, because the first answers of a slow target raise it.
+func (p *Pool) untilSilent(connected *time.Time) time.Duration {
+	if connected == nil {
+		return p.silentAfter()
+	}
+	return p.silentAfter() - time.Since(*connected)
+}
+
+// abandonSilent closes the connection of a search, and the idle ones, which
+// are as suspect.
+func (p *Pool) abandonSilent(cancel context.CancelFunc, done <-chan finished) error {
+	p.silent.Add(1)
+	cancel()
+	<-done
+	p.pooled.CloseIdleConnections()
+	return &Error{Op: "search", Kind: KindSilent, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN}
+}
+
 // giveUp cancels a running search in the configured way.
 func (p *Pool) giveUp(cancel context.CancelFunc, done <-chan finished, search *Search) error {
 	if p.config.Cancel == CancelByRequest {
@@ -308,8 +373,16 @@
 }
 
 func (p *Pool) do(via *http.Transport, request *http.Request, answer any) error {
+	defer p.closeExcess()
+	var fresh atomic.Bool
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { fresh.Store(!info.Reused) },
+	}))
 	response, err := via.RoundTrip(request)
 	if err != nil {
+		if fresh.Load() && request.Context().Err() == nil {
+			p.refused.Add(1)
+		}
 		return connectionError(err)
 	}
 	defer response.Body.Close()
--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -46,6 +46,8 @@
 	quarantine map[uint64]time.Time
 	revision   uint64
 	confirmed  time.Time
+	// configured is when a complete configuration was first in force.
+	configured time.Time
 }
 
 // New returns a subscriber that fills the table. OnRelay may follow before
@@ -62,8 +64,29 @@
 // OnRelay sets what is called with each relay that is known to be live.
 func (s *Subscriber) OnRelay(found func(relay string)) { s.found = found }
 
-// Ready reports whether a configuration is in force.
-func (s *Subscriber) Ready() bool { return s.ready.Load() }
+// targetWait is how long a gateway with a configuration waits for a first
+// target before it counts as ready. A relay that has just started may open
+// connections only after the hold-down of their former owner.
+const targetWait = 6 * time.Second
+
+// Ready reports whether a configuration is in force and its targets have had
+// time to be found. Once ready, a gateway stays so: without any target it still
+// tells its callers that nothing was run.
+func (s *Subscriber) Ready() bool {
+	if s.ready.Load() {
+		return true
+	}
+	s.mu.Lock()
+	since := s.configured
+	s.mu.Unlock()
+	if since.IsZero() {
+		return false
+	}
+	if s.table.Serving() || s.timers.Now().Sub(since) >= targetWait {
+		s.ready.Store(true)
+	}
+	return s.ready.Load()
+}
 
 // keep renews a subscription to the relay at addr until the context ends.
 func (s *Subscriber) keep(ctx context.Context, addr netip.AddrPort) {
@@ -140,8 +163,8 @@
 	if confirmed := now.Add(-update.Age.AsDuration()); update.Age != nil && confirmed.After(s.confirmed) {
 		s.confirmed = confirmed
 	}
-	if s.revision > 0 && update.Complete {
-		s.ready.Store(true)
+	if s.revision > 0 && update.Complete && s.configured.IsZero() {
+		s.configured = now
 	}
 }
 
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -49,6 +49,12 @@
 	Owners int
 }
 
+// sameTarget reports whether only the allotment differs.
+func (t Target) sameTarget(other Target) bool {
+	t.Allotment = other.Allotment
+	return t == other
+}
+
 // Publisher is told the state of each target whenever it changes.
 type Publisher interface {
 	PutTarget(state *peerpb.TargetState)
@@ -69,6 +75,7 @@
 	mu      sync.Mutex
 	leaving container.Set[string]
 	owned   map[netip.AddrPort]*ownedTarget
+	closing map[*pooler.Pool]netip.AddrPort
 	running sync.WaitGroup
 }
 
@@ -79,6 +86,7 @@
 		publisher: p, tracer: t, log: log,
 		leaving: container.NewSet[string](),
 		owned:   make(map[netip.AddrPort]*ownedTarget),
+		closing: make(map[*pooler.Pool]netip.AddrPort),
 	}
 }
 
@@ -92,9 +100,12 @@
 		wanted[t.Address] = t
 	}
 	for address, owned := range c.owned {
-		if t, ok := wanted[address]; !ok || t != owned.config {
+		t, ok := wanted[address]
+		if !ok || !t.sameTarget(owned.config) {
 			c.drop(owned)
+			continue
 		}
+		owned.setAllotment(t.Allotment)
 	}
 	for address, t := range wanted {
 		if _, ok := c.owned[address]; !ok {
@@ -128,6 +139,7 @@
 type Connections struct {
 	Limit     int
 	Allotment int
+	Open      int
 	Load      *peerpb.TargetLoad
 }
 
@@ -138,11 +150,43 @@
 	held := make(map[netip.AddrPort]Connections, len(c.owned))
 	for address, owned := range c.owned {
 		load, _ := c.dispatcher.Load(address.String())
-		held[address] = Connections{Limit: owned.config.Connections, Allotment: owned.config.Allotment, Load: load}
+		held[address] = Connections{
+			Limit: owned.config.Connections, Allotment: owned.config.Allotment, Open: owned.pool.Open(), Load: load,
+		}
 	}
 	return held
 }
 
+// Use is what a relay has opened at one target.
+type Use struct {
+	// Open counts the connections, also of a target that was given up and
+	// still ends its running requests.
+	Open int
+	// Refused counts the connections that the target has refused so far.
+	Refused int64
+}
+
+// Uses returns the use of each target that has connections or is owned.
+func (c *Connector) Uses() map[netip.AddrPort]Use {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	uses := make(map[netip.AddrPort]Use, len(c.owned)+len(c.closing))
+	for address, owned := range c.owned {
+		uses[address] = Use{Open: owned.pool.Open(), Refused: owned.pool.Refused()}
+	}
+	for pool, address := range c.closing {
+		// A given up target is reported once more when its last connection is
+		// closed, so that the next owner gets its portion.
+		use := uses[address]
+		use.Open += pool.Open()
+		uses[address] = use
+		if pool.Open() == 0 {
+			delete(c.closing, pool)
+		}
+	}
+	return uses
+}
+
 // Owned returns the number of owned targets.
 func (c *Connector) Owned() int {
 	c.mu.Lock()
@@ -161,6 +205,7 @@
 	c.dispatcher.Remove(owned.config.Address.String())
 	c.publisher.RemoveTarget(owned.config.Service, owned.config.Set, owned.config.Name)
 	delete(c.owned, owned.config.Address)
+	c.closing[owned.pool] = owned.config.Address
 	c.log.Info("target released", zap.String("target", owned.config.Name), zap.Stringer("address", owned.config.Address))
 }
 
--- a/relay/connector/target.go
+++ b/relay/connector/target.go
@@ -26,6 +26,16 @@
 	sequence uint64
 }
 
+// setAllotment is called with the connector's lock held.
+func (o *ownedTarget) setAllotment(allotment int) {
+	if allotment == o.config.Allotment {
+		return
+	}
+	o.config.Allotment = allotment
+	o.pool.SetAllotment(allotment)
+	o.connector.log.Info("allotment changed", zap.String("target", o.config.Name), zap.Int("allotment", allotment))
+}
+
 // jobEnded asks for a status call when a job shows that the known state is old.
 func (o *ownedTarget) jobEnded(result dispatcher.Result) {
 	switch result.Failure {
@@ -60,7 +70,7 @@
 
 // warm opens connections before the first request needs them.
 func (o *ownedTarget) warm(ctx context.Context) {
-	for range min(warmConnections, o.config.Allotment) - 1 {
+	for range warmConnections - 1 {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 			defer cancel()
--- a/relay/controller/controller.go
+++ b/relay/controller/controller.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/assigner"
 	"jackdawcart.org/core/buffer"
 	"jackdawcart.org/core/detector"
 	"jackdawcart.org/core/distributor"
@@ -65,8 +66,10 @@
 
 	detector    *detector.Detector
 	distributor *distributor.Distributor
-	ownership   *ownership
+	assigner    *assigner.Assigner
 	documents   map[string]*parser.Document
+	local       []connector.Target
+	refused     map[netip.AddrPort]int64
 
 	// incoming holds the latest control stream that each node has opened.
 	incoming map[string]*messenger.Stream
@@ -108,13 +111,14 @@
 			Incarnation: config.Incarnation, Version: config.Version,
 		}),
 		distributor: distributor.New(distributor.Settings{Node: s.Node, FailureDomain: s.FailureDomain}),
+		assigner:    assigner.New(s.Node),
 		documents:   make(map[string]*parser.Document),
+		refused:     make(map[netip.AddrPort]int64),
 		incoming:    make(map[string]*messenger.Stream),
 		addresses:   make(map[string]netip.AddrPort),
 		neighbours:  make(map[string]string),
 		followed:    make(map[string]context.CancelFunc),
 	}
-	c.ownership = newOwnership(s.Node, s.FailureDomain)
 	c.links.SetHandler(c)
 	return c
 }
@@ -182,12 +186,15 @@
 	}
 	c.sendMembers(c.detector.Handle(now, e.from, e.frame))
 	c.sendDocuments(c.distributor.Handle(now, c.rng, e.from, e.frame))
+	c.sendOwnership(c.assigner.Handle(now, c.rng, e.from, e.frame))
 }
 
 func (c *Controller) tick(ctx context.Context) {
 	now := c.config.Timers.Now()
 	c.sendMembers(c.detector.Tick(now, c.rng))
 	c.sendDocuments(c.distributor.Tick(now, c.rng))
+	c.sendOwnership(c.assigner.Tick(now))
+	c.assign(now)
 	c.readStore(ctx, now)
 	c.readVMs(ctx, now)
 	c.meetSeeds(ctx, now)
@@ -204,14 +211,14 @@
 	members := c.detector.Revision() != c.view
 	if members {
 		c.view = c.detector.Revision()
-		c.membersChanged(ctx)
+		c.membersChanged(ctx, now)
 	}
 	documents := c.distributor.TakeChanges()
 	if len(documents) > 0 {
 		c.documentsChanged(documents, now)
 	}
 	if members || len(documents) > 0 {
-		c.assign()
+		c.assign(now)
 	}
 	if c.distributor.Ready() {
 		c.ready.Store(true)
@@ -234,6 +241,7 @@
 		c.config.Log.Info("document in force", zap.String("service", d.Service), zap.Uint64("revision", d.Revision))
 	}
 	c.publishDocuments(documents, now)
+	c.setTargets(now)
 }
 
 func (c *Controller) publishDocuments(documents []*peerpb.Document, now time.Time) {
@@ -246,11 +254,3 @@
 	}
 	c.config.Publisher.PutDocuments(documents, c.distributor.StoreRevision(), confirmed)
 }
-
-// assign makes the connector own what the membership gives this node.
-func (c *Controller) assign() {
-	if !c.distributor.Ready() {
-		return
-	}
-	c.config.Connector.Own(c.ownership.targets(c.documents))
-}
--- a/relay/controller/members.go
+++ b/relay/controller/members.go
@@ -15,7 +15,7 @@
 const followRetry = 500 * time.Millisecond
 
 // membersChanged carries a new view of the failure domain to the other parts.
-func (c *Controller) membersChanged(ctx context.Context) {
+func (c *Controller) membersChanged(ctx context.Context, now time.Time) {
 	members := c.detector.Members()
 	published := make([]*peerpb.Member, 0, len(members))
 	var peers []distributor.Peer
@@ -37,7 +37,7 @@
 	}
 	c.config.Publisher.PutMembers(published)
 	c.distributor.SetPeers(peers)
-	c.ownership.setMembers(members)
+	c.setView(now, members)
 	c.config.Log.Info("members changed", zap.Strings("live", live), zap.Uint64("view", c.view))
 }
 
--- a/relay/reporter/reporter.go
+++ b/relay/reporter/reporter.go
@@ -118,7 +118,7 @@
 }
 
 func addLoad(target *adminapi.Target, held connector.Connections) {
-	target.Connections = adminapi.Connections{Limit: held.Limit, Allotment: held.Allotment}
+	target.Connections = adminapi.Connections{Limit: held.Limit, Allotment: held.Allotment, Open: held.Open}
 	target.InFlight = int(held.Load.GetInFlight())
 	target.Queued = int(held.Load.GetQueued())
 	target.Limit = int(held.Load.GetLimit())
