Admit by the queries that run at once, with a limit that follows their latency

Cause: admission counted what the last second had served. At a swing to twice capacity it admitted too much for up to a second, then refused by a stale share; the queries that it let in missed their deadline together. Change: an ended query makes room for the next. The limit of running queries moves towards a median of half the deadline and is widened while queries end early, so that normal load is not refused.

--- a/core/evaluator/admission.go
+++ b/core/evaluator/admission.go
@@ -3,10 +3,8 @@
 import (
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"jackdawcart.org/core/admitter"
-	"jackdawcart.org/core/scatterer"
 )
 
 // admission guards the admitter of one gateway.
@@ -16,20 +14,20 @@
 	rng   *rand.Rand
 }
 
-func (g *gateway) admitted(priority admitter.Priority, _ *scatterer.Request) bool {
+func (g *gateway) admitted(priority admitter.Priority) bool {
 	if g.admit == nil {
 		return true
 	}
 	g.admit.mu.Lock()
 	defer g.admit.mu.Unlock()
-	return g.admit.state.Admit(time.Now(), g.admit.rng, priority)
+	return g.admit.state.Admit(g.admit.rng, priority)
 }
 
-func (g *gateway) ended(priority admitter.Priority, served bool) {
+func (g *gateway) ended(outcome admitter.Outcome) {
 	if g.admit == nil {
 		return
 	}
 	g.admit.mu.Lock()
 	defer g.admit.mu.Unlock()
-	g.admit.state.Done(time.Now(), priority, served)
+	g.admit.state.Finish(outcome)
 }
--- a/core/evaluator/run.go
+++ b/core/evaluator/run.go
@@ -145,7 +145,7 @@
 		request.Services = append(request.Services, entry)
 	}
 	s := sample{arrival: a}
-	if !g.admitted(a.priority, request) {
+	if !g.admitted(a.priority) {
 		s.refused = true
 		return s
 	}
@@ -154,7 +154,7 @@
 	s.whole = answer.Complete && s.latency <= Deadline
 	s.coverage = answer.Coverage
 	s.stats = answer.Stats
-	g.ended(a.priority, s.whole || !answer.Overloaded)
+	g.ended(admitter.Outcome{Whole: s.whole || !answer.Overloaded, Elapsed: s.latency, Deadline: Deadline})
 	return s
 }
 
