--- a/core/pooler/pool.go
+++ b/core/pooler/pool.go
@@ -258,8 +258,7 @@
 				watch.Reset(wait)
 				continue
 			}
-			if answers := p.answers.Load(); answers == before {
-				before = answers
+			if p.answers.Load() == before {
 				watch.Reset(p.silentAfter())
 				continue
 			}
--- a/gateway/responder/query.go
+++ b/gateway/responder/query.go
@@ -39,12 +39,16 @@
 	}
 	planned.Traceparent = tracer.Traceparent(ctx)
 	priority := priorityOf(request, planned.Services)
-	if !r.admit(started, priority) {
+	if !r.admit(priority) {
 		return nil, notRun("query", callerapi.ErrorCodeOverloaded, "the tier is at capacity; try again later")
 	}
 	answer := r.config.Engine.Query(ctx, planned)
 	ended := r.config.Timers.Now()
-	r.done(ended, priority, !answer.Overloaded)
+	r.finish(admitter.Outcome{
+		Whole:    !answer.Overloaded,
+		Elapsed:  ended.Sub(started),
+		Deadline: planned.Deadline.Sub(started),
+	})
 	r.record(planned, answer, ended.Sub(started))
 	r.config.Mirror.Answered(planned, answer)
 	return r.reply(request, planned, answer)
--- a/gateway/responder/responder.go
+++ b/gateway/responder/responder.go
@@ -48,6 +48,7 @@
 	config   Config
 	errors   tally.Scope
 	latency  tally.Histogram
+	leaving  atomic.Bool
 	stopping atomic.Bool
 	live     atomic.Int64
 
@@ -69,6 +70,12 @@
 	}
 }
 
+// Leave announces that the responder will stop. It still answers requests.
+func (r *Responder) Leave() { r.leaving.Store(true) }
+
+// Leaving reports whether callers should go elsewhere.
+func (r *Responder) Leaving() bool { return r.leaving.Load() }
+
 // Stop makes the responder refuse new requests as not run.
 func (r *Responder) Stop() { r.stopping.Store(true) }
 
@@ -78,14 +85,14 @@
 // Live returns the number of requests that have not been answered.
 func (r *Responder) Live() int64 { return r.live.Load() }
 
-func (r *Responder) admit(now time.Time, priority admitter.Priority) bool {
+func (r *Responder) admit(priority admitter.Priority) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.admitter.Admit(now, r.rng, priority)
+	return r.admitter.Admit(r.rng, priority)
 }
 
-func (r *Responder) done(now time.Time, priority admitter.Priority, served bool) {
+func (r *Responder) finish(outcome admitter.Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.admitter.Done(now, priority, served)
+	r.admitter.Finish(outcome)
 }
