--- a/core/planner/table.go
+++ b/core/planner/table.go
@@ -133,14 +133,17 @@
 	return t.view.Load().replicas[setKey{service, set}]
 }
 
-// Serving reports whether any target takes new work.
-func (t *Table) Serving() bool {
-	for _, replicas := range t.view.Load().replicas {
-		if slices.ContainsFunc(replicas, usable) {
-			return true
+// Covered reports whether the leading set of every service can answer in full.
+func (t *Table) Covered() bool {
+	for name, entry := range t.view.Load().documents {
+		if entry.Document == nil {
+			continue
+		}
+		if plan := t.PlanSet(name, entry.Document.Answering.Lead, nil); plan.Coverage() < 1 {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // Put brings a document into force, unless a newer revision already is.
--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -64,8 +64,8 @@
 // OnRelay sets what is called with each relay that is known to be live.
 func (s *Subscriber) OnRelay(found func(relay string)) { s.found = found }
 
-// targetWait is how long a gateway with a configuration waits for a first
-// target before it counts as ready. A relay that has just started may open
+// targetWait is how long a gateway with a configuration waits until its targets
+// cover every service before it counts as ready. A relay that has just started may open
 // connections only after the hold-down of their former owner.
 const targetWait = 6 * time.Second
 
@@ -82,7 +82,7 @@
 	if since.IsZero() {
 		return false
 	}
-	if s.table.Serving() || s.timers.Now().Sub(since) >= targetWait {
+	if s.table.Covered() || s.timers.Now().Sub(since) >= targetWait {
 		s.ready.Store(true)
 	}
 	return s.ready.Load()
