--- a/core/assigner/assigner_test.go
+++ b/core/assigner/assigner_test.go
@@ -256,21 +256,28 @@
 	})
 }
 
-// A portion that returns to its former owner before the release arrived must
-// not wait for the handover timeout.
-func TestLostReleaseDoesNotBlock(t *testing.T) {
-	o := newOwners(1)
-	all := []string{"relay1", "relay2"}
-	for _, name := range all {
+// pair returns two members that have settled, the first with connections.
+func pair(t *testing.T) (o *owners, former, next string) {
+	o = newOwners(1)
+	for _, name := range []string{"relay1", "relay2"} {
 		o.add(name, 40)
-		o.view(name, all)
+		o.view(name, []string{"relay1", "relay2"})
 	}
 	o.settle(30 * time.Second)
-	former, next := "relay1", "relay2"
-	if o.open[former] == 0 {
-		former, next = next, former
+	if o.total() != 20 {
+		t.Fatalf("%d of 20 connections", o.total())
+	}
+	if o.open["relay1"] > 0 {
+		return o, "relay1", "relay2"
 	}
-	for _, name := range all {
+	return o, "relay2", "relay1"
+}
+
+// A portion that returns to its former owner before the release arrived must
+// not wait for the handover timeout.
+func TestLostReleaseDoesNotBlock(t *testing.T) {
+	o, former, next := pair(t)
+	for _, name := range o.names() {
 		o.view(name, []string{next})
 	}
 	for len(o.mail) > 0 {
@@ -278,8 +285,8 @@
 	}
 	o.trim(former)
 	o.mail = nil
-	for _, name := range all {
-		o.view(name, all)
+	for _, name := range o.names() {
+		o.view(name, o.names())
 	}
 	o.settle(2 * time.Second)
 	if o.total() != 20 {
@@ -287,6 +294,33 @@
 	}
 }
 
+// A repeated release of an earlier handover must not end a later wait.
+func TestOldReleaseIsRefused(t *testing.T) {
+	o, former, next := pair(t)
+	before := o.open[next]
+	for _, name := range o.names() {
+		o.view(name, []string{next})
+	}
+	for len(o.mail) > 0 {
+		o.deliver(0, false)
+	}
+	o.trim(former)
+	old := slices.Clone(o.mail)
+	o.settle(time.Second)
+	for _, name := range o.names() {
+		o.view(name, o.names())
+	}
+	o.settle(time.Second)
+	o.view(next, []string{next})
+	o.mail = old
+	for len(o.mail) > 0 {
+		o.deliver(0, false)
+	}
+	if got := o.nodes[next].Allotment(backEnd); len(old) == 0 || got != before {
+		t.Fatalf("%d messages gave an allotment of %d instead of %d", len(old), got, before)
+	}
+}
+
 func members(live []string, gone assigner.Member) []assigner.Member {
 	all := []assigner.Member{gone}
 	for _, name := range live {
@@ -299,17 +333,7 @@
 // must open at once when a leaving owner has closed its connections.
 func TestHoldDownAndRelease(t *testing.T) {
 	for _, left := range []bool{false, true} {
-		o := newOwners(1)
-		all := []string{"relay1", "relay2"}
-		for _, name := range all {
-			o.add(name, 40)
-			o.view(name, all)
-		}
-		o.settle(30 * time.Second)
-		former, next := "relay1", "relay2"
-		if o.open[former] == 0 {
-			former, next = next, former
-		}
+		o, former, next := pair(t)
 		before, lost := o.open[next], o.open[former]
 		gone := assigner.Member{Node: former, Left: left, Since: o.now}
 		o.send(next, o.nodes[next].SetView(o.now, o.rng, members([]string{next}, gone)))
--- a/core/assigner/handover.go
+++ b/core/assigner/handover.go
@@ -278,7 +278,8 @@
 	}
 	for _, each := range candidates {
 		_, known := a.members[each]
-		if (known || recent) && each != "" && each != p.asker {
+		other := each != "" && each != p.asker && each != a.node
+		if other && (known || recent) {
 			return each
 		}
 	}
--- a/core/distributor/distributor.go
+++ b/core/distributor/distributor.go
@@ -62,7 +62,9 @@
 	peers      []Peer
 	neighbours []string
 	unreached  bool
-	recheck    time.Time
+	// readers is kept until the peers change, because it costs a hash of each.
+	readers []string
+	recheck time.Time
 
 	nextDigest    time.Time
 	nextNeighbour time.Time
@@ -82,6 +84,7 @@
 // SetPeers replaces the live relays of the own failure domain; the own node is
 // left out.
 func (d *Distributor) SetPeers(peers []Peer) {
+	d.readers = nil
 	d.peers = d.peers[:0]
 	for _, p := range peers {
 		if p.Node != d.settings.Node {
--- a/core/distributor/store.go
+++ b/core/distributor/store.go
@@ -26,20 +26,37 @@
 // Readers returns the members that read the store. Two views of the members
 // may give more than two readers, which costs only some calls.
 func (d *Distributor) Readers() []string {
-	candidates := make([]string, 0, len(d.peers)+1)
+	if d.readers == nil {
+		d.readers = assigner.Rank("readers of "+d.settings.FailureDomain, d.candidates(), readers)
+	}
+	return d.readers
+}
+
+func (d *Distributor) candidates() []string {
+	names := make([]string, 0, len(d.peers)+1)
 	for _, p := range d.peers {
 		if p.ReachesStore {
-			candidates = append(candidates, p.Node)
+			names = append(names, p.Node)
 		}
 	}
 	if d.ReachesStore() {
-		candidates = append(candidates, d.settings.Node)
+		names = append(names, d.settings.Node)
+	}
+	return names
+}
+
+// setReached records whether the store answers this node.
+func (d *Distributor) setReached(reached bool) {
+	if d.unreached == reached {
+		d.readers = nil
 	}
-	return assigner.Rank("readers of "+d.settings.FailureDomain, candidates, readers)
+	d.unreached = !reached
 }
 
 // ReadsStore reports whether this node should read the store now: as a reader,
-// or to find out whether it reaches the store again.
+// or to find out whether it reaches the store again. A node without peers is a
+// reader, so the process asks only once it has met its peers or found none;
+// otherwise every node of a starting failure domain would list the store.
 func (d *Distributor) ReadsStore(now time.Time) bool {
 	if d.unreached {
 		return !now.Before(d.recheck)
@@ -49,7 +66,7 @@
 
 // StoreFailed notes that the store could not be read.
 func (d *Distributor) StoreFailed(now time.Time, rng *rand.Rand) {
-	d.unreached = true
+	d.setReached(false)
 	period := max(minRecheck, recheckPerMember*time.Duration(len(d.peers)+1))
 	d.recheck = now.Add(period/2 + time.Duration(rng.Int64N(int64(period))))
 }
@@ -75,7 +92,7 @@
 // confirm notes an answer of the store. An answer older than what is known,
 // as of a store restored from a backup, confirms nothing.
 func (d *Distributor) confirm(now time.Time, revision uint64) bool {
-	d.unreached = false
+	d.setReached(true)
 	if revision < d.storeRevision {
 		return false
 	}
