Add the quarantine of requests that take down targets

Package quarantiner judges a fingerprint with two lost targets one grace period after its first loss at the earliest, because a query runs on many targets at once and every bystander is in flight on the same ones. Peers are told of completions, as another relay may have seen only the losses.

A gossip test with random delays found that a relay which had excused a loss by a peer's clearance did not tell of its own completion; it now does (TestCompletionAfterClearanceIsTold).

Not shown by a test: the bound on remembered losses of one fingerprint.

--- /dev/null
+++ b/core/quarantiner/quarantiner_test.go
@@ -0,0 +1,273 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"jackdawcart.org/core/quarantiner"
+)
+
+var start = time.Unix(0, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func Example() {
+	q := quarantiner.New(quarantiner.DefaultConfig())
+	poison := quarantiner.Fingerprint("trackfinder", "search", "  Hut\tBEYOND ")
+	q.LostTarget(at(0), "t1", 1, []uint64{poison})
+	fmt.Println(q.Quarantined(at(0), poison))
+	q.LostTarget(at(3*time.Second), "t2", 2, []uint64{poison})
+	fmt.Println(q.Quarantined(at(3*time.Second), quarantiner.Fingerprint("trackfinder", "search", "hut beyond")))
+	// Output:
+	// 0s
+	// 10m0s
+}
+
+// The fields of a request must not run into each other, or an innocent request
+// shares the quarantine of another one.
+func TestFingerprint(t *testing.T) {
+	a := quarantiner.Fingerprint("s", "op", "x y")
+	for _, other := range [][3]string{{"so", "p", "x y"}, {"s", "opx", "y"}, {"s", "op", "xy"}} {
+		if quarantiner.Fingerprint(other[0], other[1], other[2]) == a {
+			t.Errorf("%q has the same fingerprint", other)
+		}
+	}
+}
+
+type event struct {
+	at     time.Duration
+	target string
+	number uint64
+}
+
+func lost(d time.Duration, target string, number uint64) event { return event{d, target, number} }
+
+func completed(d time.Duration) event { return event{at: d} }
+
+// The order and the number of reports must decide as they would if everything
+// had been seen at once: a wrong decision refuses a popular query for 10
+// minutes, or lets a poison request take down every target.
+func TestOrderOfEvents(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		events []event
+		// from is the first time of the quarantine, zero for none.
+		from time.Duration
+	}{
+		"one loss":                         {[]event{lost(0, "a", 1)}, 0},
+		"two losses":                       {[]event{lost(0, "a", 1), lost(4000*ms, "b", 2)}, 4000 * ms},
+		"two at once":                      {[]event{lost(0, "a", 1), lost(0, "b", 2)}, 1000 * ms},
+		"completed in between":             {[]event{lost(0, "a", 1), completed(2000 * ms), lost(4000*ms, "b", 2)}, 0},
+		"completed between at once":        {[]event{lost(0, "a", 1), completed(1 * ms), lost(2*ms, "b", 2)}, 0},
+		"completed after two at once":      {[]event{lost(0, "a", 1), lost(0, "b", 2), completed(130 * ms)}, 0},
+		"completed just before":            {[]event{completed(0), lost(10*ms, "a", 1), lost(20*ms, "b", 2)}, 0},
+		"completed long before":            {[]event{completed(0), lost(1010*ms, "a", 1), lost(4000*ms, "b", 2)}, 4000 * ms},
+		"completed, then two losses":       {[]event{lost(0, "a", 1), completed(10 * ms), lost(3000*ms, "b", 2), lost(6000*ms, "c", 3)}, 6000 * ms},
+		"completed after the quarantine":   {[]event{lost(0, "a", 1), lost(0, "b", 2), completed(1500 * ms)}, 0},
+		"reported by two owners":           {[]event{lost(0, "a", 1), lost(2000*ms, "a", 2)}, 0},
+		"repeated report":                  {[]event{lost(0, "a", 1), lost(9000*ms, "a", 1)}, 0},
+		"same target lost again":           {[]event{lost(0, "a", 1), lost(6000*ms, "a", 2)}, 6000 * ms},
+		"losses further apart than memory": {[]event{lost(0, "a", 1), lost(601*time.Second, "b", 2)}, 0},
+	} {
+		q := quarantiner.New(quarantiner.DefaultConfig())
+		last := time.Duration(0)
+		for _, e := range c.events {
+			q.Advance(at(e.at))
+			if e.target == "" {
+				q.Completed(at(e.at), 7)
+			} else {
+				q.LostTarget(at(e.at), e.target, e.number, []uint64{7})
+			}
+			last = e.at
+		}
+		got := map[string]time.Duration{
+			"before": q.Quarantined(at(max(c.from, last)-1), 7),
+			"from":   q.Quarantined(at(max(c.from, last)), 7),
+			"later":  q.Quarantined(at(last+5*time.Minute), 7),
+			"after":  q.Quarantined(at(c.from+10*time.Minute), 7),
+		}
+		want := map[string]time.Duration{"before": 0, "from": 0, "later": 0, "after": 0}
+		if c.from != 0 {
+			want["from"] = 10 * time.Minute
+			want["later"] = 5*time.Minute + c.from - last
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s: quarantine differs (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// Gossip must neither prolong a quarantine nor bring back one that a completed
+// run has ended, and an entry must not exceed the period.
+func TestMerge(t *testing.T) {
+	q := quarantiner.New(quarantiner.DefaultConfig())
+	quarantine := []quarantiner.Entry{{Fingerprint: 7, Remaining: time.Hour, LostTargets: 2}}
+	var got [][]quarantiner.Entry
+	got = append(got, q.Merge(at(0), quarantine), q.Entries(at(time.Minute)))
+	got = append(got, q.Merge(at(time.Second), quarantine), q.Advance(at(time.Second)))
+	q.Completed(at(time.Minute), 7)
+	got = append(got, q.Entries(at(time.Minute)), q.Advance(at(time.Minute)), q.Advance(at(time.Minute)))
+	quarantine[0].Remaining = 9 * time.Minute
+	got = append(got, q.Merge(at(time.Minute), quarantine), q.Advance(at(time.Minute)))
+	quarantine[0].Remaining = 10 * time.Minute
+	got = append(got, q.Merge(at(2*time.Minute), quarantine))
+	got = append(got, q.Merge(at(3*time.Minute), []quarantiner.Entry{{Fingerprint: 7}}), q.Entries(at(3*time.Minute)))
+	full := []quarantiner.Entry{{Fingerprint: 7, Remaining: 10 * time.Minute, LostTargets: 2}}
+	minuteLater := []quarantiner.Entry{{Fingerprint: 7, Remaining: 9 * time.Minute, LostTargets: 2}}
+	clearance := []quarantiner.Entry{{Fingerprint: 7}}
+	want := [][]quarantiner.Entry{full, minuteLater, nil, nil, nil, clearance, nil, nil, clearance, full, clearance, nil}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("entries differ (-want +got):\n%s", diff)
+	}
+	q.Merge(at(4*time.Minute), full)
+	if len(q.Entries(at(14*time.Minute))) != 0 {
+		t.Error("the quarantine outlives its period")
+	}
+}
+
+// Hostile reports must not use up memory, nor push out what is suspected.
+func TestBounds(t *testing.T) {
+	config := quarantiner.DefaultConfig()
+	config.MaxSuspects, config.MaxEntries, config.MaxPerLoss = 4, 2, 3
+	q := quarantiner.New(config)
+	q.LostTarget(at(0), "a", 1, []uint64{0, 1, 2, 3})
+	for fingerprint := uint64(10); fingerprint < 20; fingerprint++ {
+		q.Merge(at(time.Second), []quarantiner.Entry{{Fingerprint: fingerprint}})
+		q.Merge(at(time.Second), []quarantiner.Entry{{Fingerprint: fingerprint + 10, Remaining: time.Minute}})
+	}
+	if suspects, entries := q.Len(); suspects != 4 || entries != 2 {
+		t.Errorf("got %d suspects and %d entries, want 4 and 2", suspects, entries)
+	}
+	q.LostTarget(at(2*time.Second), "b", 2, []uint64{0, 1, 3})
+	if q.Quarantined(at(2*time.Second), 0) != 0 {
+		t.Error("a request without a fingerprint is quarantined")
+	}
+	if q.Quarantined(at(2*time.Second), 1) == 0 || q.Quarantined(at(2*time.Second), 3) != 0 {
+		t.Error("clearances pushed out a suspect, or a report beyond its bound was taken")
+	}
+	if q.Advance(at(time.Hour)); q.Entries(at(time.Hour)) != nil {
+		t.Error("entries outlive their time")
+	}
+	if suspects, entries := q.Len(); suspects != 0 || entries != 0 {
+		t.Errorf("%d suspects and %d entries outlive their time", suspects, entries)
+	}
+}
+
+// Completions just before a loss must excuse it however many others there are
+// within the bound, or a popular query is quarantined at peak load.
+func TestRecentCompletions(t *testing.T) {
+	config := quarantiner.DefaultConfig()
+	config.MaxRecent = 3
+	q := quarantiner.New(config)
+	for i, fingerprint := range []uint64{1, 7, 8, 9, 10, 11, 7, 12, 13} {
+		q.Completed(at([]time.Duration{0, 1500, 1600, 1700, 1800, 2400, 2450, 2500, 2520}[i]*time.Millisecond), fingerprint)
+	}
+	for number, target := range []string{"a", "b"} {
+		q.LostTarget(at(2550*time.Millisecond), target, uint64(number), []uint64{7, 10, 12})
+	}
+	got := map[uint64]bool{}
+	for _, e := range q.Advance(at(4 * time.Second)) {
+		got[e.Fingerprint] = e.Remaining > 0
+	}
+	if diff := cmp.Diff(map[uint64]bool{7: false, 10: true, 12: false}, got); diff != "" {
+		t.Errorf("quarantined fingerprints differ (-want +got):\n%s", diff)
+	}
+}
+
+// A loss that is excused here by a peer's clearance may count at another peer,
+// which must hear of the next completion or it condemns a bystander.
+func TestCompletionAfterClearanceIsTold(t *testing.T) {
+	q := quarantiner.New(quarantiner.DefaultConfig())
+	clearance := []quarantiner.Entry{{Fingerprint: 7}}
+	q.Merge(at(0), clearance)
+	q.LostTarget(at(500*time.Millisecond), "a", 1, []uint64{7})
+	q.Completed(at(600*time.Millisecond), 7)
+	news := q.Advance(at(time.Second))
+	q.Completed(at(time.Second), 7)
+	if diff := cmp.Diff(clearance, append(news, q.Advance(at(time.Second))...)); diff != "" {
+		t.Errorf("news differ (-want +got):\n%s", diff)
+	}
+}
+
+// A request that still takes down targets during its quarantine, where the news
+// has not arrived, must not be let in when the first period ends.
+func TestFurtherLossesProlong(t *testing.T) {
+	q := quarantiner.New(quarantiner.DefaultConfig())
+	for i, target := range []string{"a", "b", "c", "d"} {
+		when := at([]time.Duration{0, 4, 300, 304}[i] * time.Second)
+		q.LostTarget(when, target, uint64(i), []uint64{7})
+		q.Advance(when)
+	}
+	if got := q.Quarantined(at(304*time.Second), 7); got != 10*time.Minute {
+		t.Errorf("got %v left, want 10m", got)
+	}
+}
+
+const (
+	poison  = 1
+	popular = 2
+)
+
+// Three relays hear of losses and clearances with differing delays, in any
+// order, while a popular query is in flight at every target that the poison
+// request takes down, and completes at one of the relays around that time. No
+// relay may ever quarantine the popular query, and each must quarantine the
+// poison request.
+func TestGossipInAnyOrder(t *testing.T) {
+	const ms = time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		type action struct {
+			at  time.Duration
+			run func(now time.Time)
+		}
+		var actions []action
+		relays := make([]*quarantiner.Quarantiner, 3)
+		for i := range relays {
+			relays[i] = quarantiner.New(quarantiner.DefaultConfig())
+		}
+		delay := func() time.Duration { return time.Duration(rapid.IntRange(0, 300).Draw(t, "delay")) * ms }
+		relay := func() *quarantiner.Quarantiner { return rapid.SampledFrom(relays).Draw(t, "relay") }
+		losses := rapid.IntRange(2, 6).Draw(t, "losses")
+		for n, when := 0, 2*time.Second; n < losses; n++ {
+			for _, q := range relays {
+				actions = append(actions, action{when + delay(), func(now time.Time) {
+					q.LostTarget(now, fmt.Sprint("t", n), uint64(n), []uint64{poison, popular})
+				}})
+			}
+			q, done := relay(), when+delay()-150*ms
+			actions = append(actions, action{done, func(now time.Time) { q.Completed(now, popular) }})
+			when += time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap")) * ms
+		}
+		for now := time.Duration(0); now < 30*time.Second; now += 10 * ms {
+			for i := 0; i < len(actions); i++ {
+				if a := actions[i]; a.at <= now {
+					actions = slices.Delete(actions, i, i+1)
+					i--
+					a.run(at(now))
+				}
+			}
+			for i, q := range relays {
+				if q.Quarantined(at(now), popular) > 0 {
+					t.Fatalf("relay %d quarantines the popular query at %v", i, now)
+				}
+				news := q.Advance(at(now))
+				if len(news) == 0 {
+					continue
+				}
+				for _, peer := range relays {
+					actions = append(actions, action{now + delay(), func(now time.Time) { peer.Merge(now, news) }})
+				}
+			}
+		}
+		for i, q := range relays {
+			if q.Quarantined(at(30*time.Second), poison) == 0 {
+				t.Fatalf("relay %d does not quarantine the poison request", i)
+			}
+		}
+	})
+}
