--- a/core/planner/table.go
+++ b/core/planner/table.go
@@ -133,6 +133,19 @@
 	return t.view.Load().replicas[setKey{service, set}]
 }
 
+// Covered reports whether the leading set of every service can answer in full.
+func (t *Table) Covered() bool {
+	for name, entry := range t.view.Load().documents {
+		if entry.Document == nil {
+			continue
+		}
+		if plan := t.PlanSet(name, entry.Document.Answering.Lead, nil); plan.Coverage() < 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // Put brings a document into force, unless a newer revision already is.
 func (t *Table) Put(doc *parser.Document, revision uint64, now time.Time) {
 	t.put(doc.Service, &Service{Document: doc, Revision: revision, AppliedAt: now}, now)
--- a/gateway/responder/responder.go
+++ b/gateway/responder/responder.go
@@ -85,14 +85,14 @@
 // Live returns the number of requests that have not been answered.
 func (r *Responder) Live() int64 { return r.live.Load() }
 
-func (r *Responder) admit(now time.Time, priority admitter.Priority) bool {
+func (r *Responder) admit(priority admitter.Priority) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.admitter.Admit(now, r.rng, priority)
+	return r.admitter.Admit(r.rng, priority)
 }
 
-func (r *Responder) done(now time.Time, priority admitter.Priority, served bool) {
+func (r *Responder) finish(outcome admitter.Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.admitter.Done(now, priority, served)
+	r.admitter.Finish(outcome)
 }
