Answer requests that cannot be decoded with a typed error

The generated server passes requests that it cannot decode to its own error handler, whose body has neither a code nor an outcome, and gives status 400 to a body above the size limit. The gateway now answers them like its own refusals.

--- a/gateway/responder/error.go
+++ b/gateway/responder/error.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// WriteError answers a request that could not be decoded, for which the server
+// calls no handler.
+func (r *Responder) WriteError(ctx context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	failure := r.NewError(ctx, err)
+	body, err := failure.Response.MarshalJSON()
+	if err != nil {
+		http.Error(w, http.StatusText(http.StatusInternalServerError), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(failure.StatusCode)
+	// A write fails only when the caller's connection is gone.
+	_, _ = w.Write(body)
+}
+
 // requestError classifies what ogen found wrong with a request, before any
 // handler ran.
 func requestError(err error) *Error {
--- a/gateway/runner/run.go
+++ b/gateway/runner/run.go
@@ -157,7 +157,7 @@
 }
 
 func serveCallers(ctx context.Context, settings *loader.Settings, respond *responder.Responder, log *zap.Logger) (*http.Server, net.Listener, error) {
-	api, err := callerapi.NewServer(respond)
+	api, err := callerapi.NewServer(respond, callerapi.WithErrorHandler(respond.WriteError))
 	if err != nil {
 		return nil, nil, err
 	}
