Skip frames of unknown kind at the start of a relay's stream

A stream is handed to a part of the relay by its first frame. A first frame of a kind that a later version may send went to the control part, which ended the stream. Before: TestFramesOfLaterVersion got no answer; after: it does.

--- a/relay/runner/run.go
+++ b/relay/runner/run.go
@@ -119,6 +119,10 @@
 
 func (s streams) serve(ctx context.Context, peer *peerpb.Hello, stream *messenger.Stream) {
 	first, err := stream.Receive()
+	// A frame of a later version, whose kind is unknown here, decides nothing.
+	for err == nil && first.Kind == nil {
+		first, err = stream.Receive()
+	}
 	if err != nil {
 		return
 	}
