--- a/failuretests/callers_test.go
+++ b/failuretests/callers_test.go
@@ -183,12 +183,20 @@
 // useTicket sends a non-idempotent request under a ticket, without recording
 // the answer.
 func (c *callers) useTicket(q *checker.Request, ticket string, clients []*callerapi.Client) checker.Answer {
+	return c.run(q, &callerapi.ExecuteRequest{Ticket: callerapi.NewOptString(ticket)}, clients)
+}
+
+// useKey sends a non-idempotent request under an idempotency key.
+func (c *callers) useKey(q *checker.Request, key string, clients []*callerapi.Client) checker.Answer {
+	return c.run(q, &callerapi.ExecuteRequest{IdempotencyKey: callerapi.NewOptString(key)}, clients)
+}
+
+// run completes a request that has its ticket or key, and sends it.
+func (c *callers) run(q *checker.Request, request *callerapi.ExecuteRequest, clients []*callerapi.Client) checker.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), q.Deadline+5*time.Second)
 	defer cancel()
-	request := &callerapi.ExecuteRequest{
-		Ticket: callerapi.NewOptString(ticket), Service: q.Services[0], Operation: q.Operation, Payload: q.Text,
-		Deadline: callerapi.NewOptDuration(q.Deadline),
-	}
+	request.Service, request.Operation, request.Payload = q.Services[0], q.Operation, q.Text
+	request.Deadline = callerapi.NewOptDuration(q.Deadline)
 	var answer *callerapi.ExecuteAnswer
 	err := try(clients, func(client *callerapi.Client) (err error) {
 		answer, err = client.Execute(ctx, request, callerapi.ExecuteParams{JackdawcartCaller: q.Caller})
@@ -260,13 +268,6 @@
 	return stop
 }
 
-// count returns the number of answers so far.
-func (c *callers) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.record.Answers)
-}
-
 // sentAfter returns the answers to requests that were sent after a time.
 func (c *callers) sentAfter(at time.Time) []checker.Answer {
 	c.mu.Lock()
--- a/failuretests/launcher/cluster.go
+++ b/failuretests/launcher/cluster.go
@@ -298,7 +298,7 @@
 
 // Start starts all processes.
 func (c *Cluster) Start() error {
-	_, err := c.start("platform", c.binaries.Platform, "--listen", c.Platform.String(),
+	err := c.start("platform", c.binaries.Platform, "--listen", c.Platform.String(),
 		"--documents", filepath.Join(c.Directory, "documents"))
 	errs := []error{err}
 	for i := range c.Controls {
@@ -312,36 +312,33 @@
 
 // StartTargets starts the target process with the given number.
 func (c *Cluster) StartTargets(i int) error {
-	_, err := c.start(fmt.Sprintf("targets-%d", i), c.binaries.Targets, "--control", c.Controls[i].String(),
+	return c.start(fmt.Sprintf("targets-%d", i), c.binaries.Targets, "--control", c.Controls[i].String(),
 		"--targets", filepath.Join(c.Directory, fmt.Sprintf("targets-%d.json", i)))
-	return err
 }
 
 // StartRelay starts the relay of a node, also after an earlier one has ended.
 func (c *Cluster) StartRelay(n Node) error {
-	_, err := c.start(n.Name+"-relay", c.binaries.Relay, "--settings", filepath.Join(c.Directory, n.Name+"-relay.json"))
-	return err
+	return c.start(n.Name+"-relay", c.binaries.Relay, "--settings", filepath.Join(c.Directory, n.Name+"-relay.json"))
 }
 
 // StartGateway starts the gateway of a node.
 func (c *Cluster) StartGateway(n Node) error {
-	_, err := c.start(n.Name+"-gateway", c.binaries.Gateway, "--settings", filepath.Join(c.Directory, n.Name+"-gateway.json"))
-	return err
+	return c.start(n.Name+"-gateway", c.binaries.Gateway, "--settings", filepath.Join(c.Directory, n.Name+"-gateway.json"))
 }
 
 // Ctl returns the path of jackdawctl.
 func (c *Cluster) Ctl() string { return c.binaries.Ctl }
 
-func (c *Cluster) start(name, path string, args ...string) (*Process, error) {
+func (c *Cluster) start(name, path string, args ...string) error {
 	p, err := Start(c.Directory, name, path, args...)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.processes[name] = p
 	c.started = append(c.started, p)
-	return p, nil
+	return nil
 }
 
 // Process returns the latest process of a name, such as north-1-gateway.
--- a/failuretests/launcher/process.go
+++ b/failuretests/launcher/process.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("launcher: start: %w", err)
 	}
-	defer output.Close()
+	defer func() { _ = output.Close() }()
 	p := &Process{Name: name, logPath: logPath, done: make(chan struct{})}
 	p.command = exec.Command(path, args...)
 	p.command.Stdout, p.command.Stderr = output, output
--- a/failuretests/launcher/proxy.go
+++ b/failuretests/launcher/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -87,7 +86,7 @@
 func reset(c *net.TCPConn) {
 	// Without lingering, a close sends a reset.
 	_ = c.SetLinger(0)
-	c.Close()
+	_ = c.Close()
 }
 
 func (p *Proxy) acceptAll() {
@@ -134,7 +133,7 @@
 		if err != nil || !p.pass(from) {
 			return
 		}
-		if _, err := to.Write(block[:n]); err != nil && err != io.ErrShortWrite {
+		if _, err := to.Write(block[:n]); err != nil {
 			return
 		}
 	}
--- a/failuretests/main_test.go
+++ b/failuretests/main_test.go
@@ -21,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(directory)
+	defer func() { _ = os.RemoveAll(directory) }()
 	root, err := filepath.Abs("..")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
