Write the last answers of a stopping relay

A relay counted a request as answered before its answer was queued, and then closed its streams, which drops queued frames. The gateway saw the stream end and the budget for retries decided about the request.

--- a/relay/forwarder/forwarder.go
+++ b/relay/forwarder/forwarder.go
@@ -79,7 +79,7 @@
 			Traceparent: batch.Traceparent,
 			Fingerprint: batch.Fingerprint,
 			Reply: func(result dispatcher.Result) {
-				f.held.Add(-1)
+				defer f.held.Add(-1)
 				f.reply(stream, &peerpb.Frame{Kind: &peerpb.Frame_SubAnswer{SubAnswer: &peerpb.SubAnswer{
 					QueryId:  batch.QueryId,
 					Sub:      sub.Sub,
@@ -106,7 +106,7 @@
 		Fingerprint: execute.Fingerprint,
 		Execute:     execute,
 		Reply: func(result dispatcher.Result) {
-			f.held.Add(-1)
+			defer f.held.Add(-1)
 			f.reply(stream, &peerpb.Frame{Kind: &peerpb.Frame_ExecuteAnswer{ExecuteAnswer: &peerpb.ExecuteAnswer{
 				RequestId: execute.RequestId,
 				Outcome:   result.Outcome,
--- a/relay/runner/run.go
+++ b/relay/runner/run.go
@@ -31,6 +31,8 @@
 	process      = "relay"
 	storeTimeout = 2 * time.Second
 	drainPeriod  = 10 * time.Millisecond
+	// flushTime is how long queued answers may take to be written at a stop.
+	flushTime = 100 * time.Millisecond
 )
 
 // Run runs a relay until the context ends, then stops it gracefully.
@@ -103,6 +105,8 @@
 	for forward.Held() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPeriod)
 	}
+	// The last answers are queued on streams, whose close would drop them.
+	time.Sleep(flushTime)
 }
 
 type noQuarantine struct{}
