--- a/failuretests/callers_test.go
+++ b/failuretests/callers_test.go
@@ -372,8 +372,8 @@
 		bad++
 		if bad <= shown {
 			q := c.record.Requests[i]
-			c.d.t.Errorf("%s: request %s sent at %s: %s %s %s coverage %.2f after %s", why, q.ID,
-				q.Sent.Format("15:04:05.000"), a.Outcome, a.Code, a.Message, a.Coverage, a.At.Sub(q.Sent))
+			c.d.t.Errorf("%s: request %s sent at %s: %s %s %s coverage %.2f after %s, services %+v", why, q.ID,
+				q.Sent.Format("15:04:05.000"), a.Outcome, a.Code, a.Message, a.Coverage, a.At.Sub(q.Sent), a.Services)
 		}
 	}
 	if bad > shown {
--- a/failuretests/stop_test.go
+++ b/failuretests/stop_test.go
@@ -85,15 +85,27 @@
 func TestGracefulStopWaitsForLongRequests(t *testing.T) {
 	// The request outlasts the leave time of 2 s.
 	const serviceTime = 3 * time.Second
-	d := deploy(t, launcher.Options{ServiceTime: serviceTime, Deadline: 9 * time.Second})
-	c := newCallers(d)
-	c.pending.Go(func() { c.execute(c.at(0)) })
-	c.pending.Go(func() { c.query(c.at(0)) })
-	d.eventually(startBound, "the requests run", func() bool {
-		record, _ := d.record()
-		return len(record.Runs) > d.Shards
-	})
-	d.terminate(d.Nodes[0].Name + "-gateway")
-	c.allAnswered("the gateway was stopped during the request")
-	c.verify()
+	// The gateway runs the requests through the relays of its own domain.
+	for _, stopped := range [][]string{{"north-1-gateway"}, {"north-1-relay", "north-2-relay"}} {
+		t.Run(stopped[0], func(t *testing.T) {
+			d := deploy(t, launcher.Options{ServiceTime: serviceTime, Deadline: 9 * time.Second})
+			c := newCallers(d)
+			c.pending.Go(func() { c.execute(c.at(0)) })
+			c.pending.Go(func() { c.query(c.at(0)) })
+			d.eventually(startBound, "the requests run", func() bool {
+				record, _ := d.record()
+				return len(record.Runs) > d.Shards
+			})
+			for _, name := range stopped {
+				if err := d.Process(name).Signal(sigterm); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, name := range stopped {
+				d.terminate(name)
+			}
+			c.allAnswered("processes were stopped during the requests")
+			c.verify()
+		})
+	}
 }
--- a/failuretests/target_test.go
+++ b/failuretests/target_test.go
@@ -211,6 +211,22 @@
 	c.verify()
 }
 
+// Guards against answers that mix two snapshots when the one that a query is
+// pinned to goes before the query has ended.
+func TestSnapshotGoneDuringQueries(t *testing.T) {
+	d := deploy(t, launcher.Options{ServiceTime: 60 * time.Millisecond, Deadline: 2 * time.Second})
+	c := newCallers(d)
+	stop := c.load(false)
+	c.steady(startBound, "answers before the change")
+	for _, shards := range []int{5, 2, 4, 3} {
+		// The snapshot goes before any relay can have learned of the next one.
+		d.target("*", fault{"kind": "repartition", "shards": shards, "retire-after": "20ms"})
+		c.steady(deathBound, "full answers after the change")
+	}
+	stop()
+	c.verify()
+}
+
 // Guards against an answer that claims a shard of which all replicas are lost.
 func TestLostShard(t *testing.T) {
 	d := deploy(t, launcher.Options{})
