Refuse requests that take down targets

Relays report requests whose connection broke at a target that cannot be reached again; two losses without a completed run quarantine the request in every failure domain that can be reached, and gateways refuse it as not run. A query that has lost two targets is sent to no further one.

--- a/core/pooler/error.go
+++ b/core/pooler/error.go
@@ -63,8 +63,10 @@
 	switch e.Kind {
 	case KindUnreachable:
 		return peerpb.FailureKind_FAILURE_UNREACHABLE
-	case KindLost, KindSilent:
+	case KindLost:
 		return peerpb.FailureKind_FAILURE_LOST
+	case KindSilent:
+		return peerpb.FailureKind_FAILURE_SILENT
 	case KindCancelled:
 		return peerpb.FailureKind_FAILURE_CANCELLED
 	case KindCrossed, KindMalformed:
--- a/core/scatterer/query.go
+++ b/core/scatterer/query.go
@@ -35,8 +35,18 @@
 	open     int
 	stats    Stats
 	attempts uint32
+	// lost holds the targets whose connections broke while they ran a part of
+	// the query.
+	lost container.Set[string]
 }
 
+// maxLost is the number of targets that a query may lose before it is sent to
+// no further one: the query itself may be what takes them down.
+const maxLost = 2
+
+// suspect reports whether no further target may be put at risk.
+func (q *query) suspect() bool { return len(q.lost) >= maxLost }
+
 // part is the share of one service in a query.
 type part struct {
 	entry    *planner.Service
@@ -78,6 +88,7 @@
 		id:       id,
 		request:  request,
 		deadline: request.Deadline.Add(-e.config.AnswerMargin),
+		lost:     container.NewSet[string](),
 	}
 	for _, entry := range request.Services {
 		p := &part{entry: entry, state: e.service(entry), gone: container.NewSet[string]()}
@@ -234,7 +245,7 @@
 // hedge sends a late sub-request to a second replica if the budget allows.
 func (q *query) hedge(s *sub, now time.Time, batches map[string]*peerpb.Batch) {
 	s.hedgeAt = q.deadline
-	if q.engine.config.DisableHedges || len(s.attempts) >= q.engine.config.MaxAttempts {
+	if q.engine.config.DisableHedges || len(s.attempts) >= q.engine.config.MaxAttempts || q.suspect() {
 		return
 	}
 	if !s.part.state.hedges.withdraw() {
--- a/core/scatterer/receive.go
+++ b/core/scatterer/receive.go
@@ -17,7 +17,8 @@
 	for _, s := range q.subs {
 		for _, a := range s.attempts {
 			if !a.done && a.relay == e.lostRelay {
-				q.fail(s, a.number, peerpb.FailureKind_FAILURE_LOST, batches)
+				// The loss says nothing about the target.
+				q.fail(s, a.number, peerpb.FailureKind_FAILURE_NOT_OWNER, batches)
 			}
 		}
 	}
@@ -104,6 +105,9 @@
 		return
 	}
 	a.done = true
+	if kind == peerpb.FailureKind_FAILURE_LOST {
+		q.lost.Add(a.replica.Target)
+	}
 	now := q.engine.timers.Now()
 	q.noteFailure(s, a, kind, now)
 	if s.ended {
@@ -140,7 +144,7 @@
 // retry starts another attempt. Attempts that follow one which cost a target
 // nothing are free; all others share the budget of the hedges.
 func (q *query) retry(s *sub, kind peerpb.FailureKind, now time.Time, batches map[string]*peerpb.Batch) bool {
-	if len(s.attempts) >= q.engine.config.MaxAttempts || !now.Before(q.deadline) {
+	if len(s.attempts) >= q.engine.config.MaxAttempts || !now.Before(q.deadline) || q.suspect() {
 		return false
 	}
 	free := costsNothing(kind)
--- a/gateway/responder/execute.go
+++ b/gateway/responder/execute.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/callerapi"
 	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/gateway/issuer"
 )
@@ -71,7 +71,7 @@
 		return issuer.Request{}, err
 	}
 	_, known := r.config.Table.Service(request.Service)
-	fingerprint := executeFingerprint(request)
+	fingerprint := quarantiner.Fingerprint(request.Service, request.Operation, request.Payload)
 	deadline := request.Deadline.Or(defaultExecuteDeadline)
 	switch {
 	case request.Ticket.IsSet() == request.IdempotencyKey.IsSet():
@@ -105,11 +105,6 @@
 	return nil
 }
 
-// executeFingerprint is equal for requests that make targets do the same work.
-func executeFingerprint(request *callerapi.ExecuteRequest) uint64 {
-	return xxhash.Sum64String("execute\x00" + request.Service + "\x00" + request.Operation + "\x00" + request.Payload)
-}
-
 func executeReply(answer *peerpb.ExecuteAnswer) (*callerapi.ExecuteAnswer, error) {
 	switch answer.Outcome {
 	case peerpb.Outcome_OUTCOME_RAN:
--- a/gateway/responder/query.go
+++ b/gateway/responder/query.go
@@ -7,13 +7,13 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/admitter"
 	"jackdawcart.org/core/callerapi"
 	"jackdawcart.org/core/planner"
+	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/scatterer"
 	"jackdawcart.org/core/tracer"
 )
@@ -126,8 +126,7 @@
 // queryFingerprint is equal for requests that make targets do the same work.
 func queryFingerprint(request *callerapi.QueryRequest) uint64 {
 	services := slices.Sorted(slices.Values(request.Services))
-	text := strings.ToLower(strings.Join(strings.Fields(request.Text), " "))
-	return xxhash.Sum64String("search\x00" + strings.Join(services, "\x00") + "\x00\x00" + text)
+	return quarantiner.Fingerprint(strings.Join(services, "\x00"), "search", request.Text)
 }
 
 func (r *Responder) record(planned *scatterer.Request, answer *scatterer.Answer, latency time.Duration) {
--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -281,6 +281,10 @@
 	defer s.mu.Unlock()
 	now := s.timers.Now()
 	for _, e := range update.Entries {
+		if e.Remaining.AsDuration() <= 0 {
+			delete(s.quarantine, e.Fingerprint)
+			continue
+		}
 		s.quarantine[e.Fingerprint] = now.Add(e.Remaining.AsDuration())
 	}
 }
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -187,6 +187,18 @@
 	return uses
 }
 
+// Probe asks an owned target for its state.
+func (c *Connector) Probe(ctx context.Context, target netip.AddrPort) error {
+	c.mu.Lock()
+	owned, ok := c.owned[target]
+	c.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	_, err := owned.pool.Status(ctx)
+	return err
+}
+
 // Owned returns the number of owned targets.
 func (c *Connector) Owned() int {
 	c.mu.Lock()
--- a/relay/connector/target.go
+++ b/relay/connector/target.go
@@ -40,7 +40,8 @@
 func (o *ownedTarget) jobEnded(result dispatcher.Result) {
 	switch result.Failure {
 	case peerpb.FailureKind_FAILURE_SNAPSHOT_GONE, peerpb.FailureKind_FAILURE_DRAINING,
-		peerpb.FailureKind_FAILURE_UNREACHABLE, peerpb.FailureKind_FAILURE_LOST:
+		peerpb.FailureKind_FAILURE_UNREACHABLE, peerpb.FailureKind_FAILURE_LOST,
+		peerpb.FailureKind_FAILURE_SILENT:
 		o.pollNow()
 	}
 }
--- a/relay/controller/controller.go
+++ b/relay/controller/controller.go
@@ -41,6 +41,13 @@
 	VMs(ctx context.Context) ([]keeper.VM, error)
 }
 
+// Quarantine takes what other relays say about requests that crash targets.
+type Quarantine interface {
+	HandleLost(lost *peerpb.LostTarget)
+	HandleUpdate(update *peerpb.QuarantineUpdate)
+	Entries() []*peerpb.QuarantineEntry
+}
+
 // Config joins the parts that a controller drives.
 type Config struct {
 	Settings    *loader.Settings
@@ -51,6 +58,7 @@
 	Peers       *messenger.Peers
 	Publisher   *publisher.Publisher
 	Connector   *connector.Connector
+	Quarantine  Quarantine
 	Log         *zap.Logger
 }
 
@@ -171,6 +179,23 @@
 	c.do(func(now time.Time) { c.sendMembers(c.detector.Leave(now)) })
 }
 
+// Broadcast sends a frame to the live relays of the failure domain and to the
+// known ones of its neighbours.
+func (c *Controller) Broadcast(frame *peerpb.Frame) {
+	c.do(func(time.Time) { c.sendToAll(frame) })
+}
+
+func (c *Controller) sendToAll(frame *peerpb.Frame) {
+	for _, m := range c.detector.Members() {
+		if m.State.Live() && m.Node != c.config.Settings.Node {
+			c.send(m.Node, m.RelayAddress, frame)
+		}
+	}
+	for node := range c.neighbours {
+		c.send(node, c.addresses[node], frame)
+	}
+}
+
 func (c *Controller) handle(e event) {
 	now := c.config.Timers.Now()
 	if e.run != nil {
@@ -180,8 +205,15 @@
 	if e.stream != nil {
 		c.incoming[e.from] = e.stream
 	}
-	if leaving := e.frame.GetLeavingVms(); leaving != nil {
-		c.config.Connector.SetLeaving(leaving.Names, leaving.Addresses)
+	switch kind := e.frame.Kind.(type) {
+	case *peerpb.Frame_LeavingVms:
+		c.config.Connector.SetLeaving(kind.LeavingVms.Names, kind.LeavingVms.Addresses)
+		return
+	case *peerpb.Frame_LostTarget:
+		c.config.Quarantine.HandleLost(kind.LostTarget)
+		return
+	case *peerpb.Frame_QuarantineUpdate:
+		c.config.Quarantine.HandleUpdate(kind.QuarantineUpdate)
 		return
 	}
 	c.sendMembers(c.detector.Handle(now, e.from, e.frame))
--- a/relay/controller/members.go
+++ b/relay/controller/members.go
@@ -38,9 +38,19 @@
 	c.config.Publisher.PutMembers(published)
 	c.distributor.SetPeers(peers)
 	c.setView(now, members)
+	c.tellQuarantine()
 	c.config.Log.Info("members changed", zap.Strings("live", live), zap.Uint64("view", c.view))
 }
 
+// tellQuarantine sends what is in force, so that a new member knows it too.
+func (c *Controller) tellQuarantine() {
+	if entries := c.config.Quarantine.Entries(); len(entries) > 0 {
+		c.sendToAll(&peerpb.Frame{Kind: &peerpb.Frame_QuarantineUpdate{
+			QuarantineUpdate: &peerpb.QuarantineUpdate{Entries: entries},
+		}})
+	}
+}
+
 // follow subscribes to the targets that a peer owns, so that every relay can
 // tell a subscriber about all targets of the failure domain.
 func (c *Controller) follow(ctx context.Context, m *detector.Member) {
--- a/relay/reporter/reporter.go
+++ b/relay/reporter/reporter.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"jackdawcart.org/core/adminapi"
@@ -28,17 +29,23 @@
 	Connections() map[netip.AddrPort]connector.Connections
 }
 
+// Quarantine gives the requests that are refused.
+type Quarantine interface {
+	Entries() []*peerpb.QuarantineEntry
+}
+
 // Reporter builds the views of a relay.
 type Reporter struct {
 	origin      adminapi.Origin
 	control     Control
 	targets     Targets
 	connections Connections
+	quarantine  Quarantine
 }
 
 // New returns a reporter of the process that origin names.
-func New(origin adminapi.Origin, control Control, targets Targets, connections Connections) *Reporter {
-	return &Reporter{origin: origin, control: control, targets: targets, connections: connections}
+func New(origin adminapi.Origin, control Control, targets Targets, connections Connections, quarantine Quarantine) *Reporter {
+	return &Reporter{origin: origin, control: control, targets: targets, connections: connections, quarantine: quarantine}
 }
 
 func (r *Reporter) at() adminapi.Origin {
@@ -124,3 +131,15 @@
 	target.Limit = int(held.Load.GetLimit())
 	target.LatencyP50 = parser.Duration(held.Load.GetRecentLatency().AsDuration())
 }
+
+// Quarantine shows the requests that are refused because they crash targets.
+func (r *Reporter) Quarantine(*http.Request) any {
+	view := adminapi.Quarantine{Origin: r.at(), Entries: []adminapi.QuarantineEntry{}, Suspects: []adminapi.Suspect{}}
+	for _, e := range r.quarantine.Entries() {
+		view.Entries = append(view.Entries, adminapi.QuarantineEntry{
+			Fingerprint: strconv.FormatUint(e.Fingerprint, 16), LostTargets: []string{},
+			Until: view.At.Add(e.Remaining.AsDuration()),
+		})
+	}
+	return view
+}
--- a/relay/runner/run.go
+++ b/relay/runner/run.go
@@ -23,6 +23,7 @@
 	"jackdawcart.org/relay/connector"
 	"jackdawcart.org/relay/controller"
 	"jackdawcart.org/relay/forwarder"
+	"jackdawcart.org/relay/inspector"
 	"jackdawcart.org/relay/publisher"
 	"jackdawcart.org/relay/reporter"
 )
@@ -53,22 +54,24 @@
 	timers := timer.NewService()
 	metrics := meter.New(process, settings.Node)
 	publish := publisher.New(settings.Node)
-	dispatch := dispatcher.New(timers, nil)
+	inspect := inspector.New(incarnation, timers, publish, log)
+	dispatch := dispatcher.New(timers, inspect)
 	connect := connector.New(settings.Node, incarnation, timers, dispatch, publish, spans, log)
-	forward := forwarder.New(timers, dispatch, noQuarantine{}, settings.MaxSubRequests, log)
+	forward := forwarder.New(timers, dispatch, inspect, settings.MaxSubRequests, log)
 	peers := messenger.NewPeers(keys, hello)
 	control := controller.New(controller.Config{
 		Settings: settings, Incarnation: incarnation, Version: version, Timers: timers,
 		Store: keeper.NewClient(keeper.Settings{Address: settings.PlatformAddress, CallTimeout: storeTimeout}),
-		Peers: peers, Publisher: publish, Connector: connect, Log: log,
+		Peers: peers, Publisher: publish, Connector: connect, Quarantine: inspect, Log: log,
 	})
 	admin := administrator.New(func() (bool, string) { return control.Ready(), "no configuration in force" }, metrics.Handler)
 	report := reporter.New(adminapi.Origin{
 		Node: settings.Node, Process: process, FailureDomain: settings.FailureDomain,
-	}, control, publish, connect)
+	}, control, publish, connect, inspect)
 	admin.Show("members", report.Members)
 	admin.Show("targets", report.Targets)
 	admin.Show("configuration", report.Configuration)
+	admin.Show("quarantine", report.Quarantine)
 	if err := admin.Listen(ctx, settings.AdminAddress); err != nil {
 		return err
 	}
@@ -80,6 +83,8 @@
 	log.Info("relay started", zap.String("version", version), zap.Stringer("address", settings.SessionAddress))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	inspect.Connect(connect, control)
+	go inspect.Run(work)
 	go control.Run(work)
 	go accept.Run(work, listener)
 	<-ctx.Done()
@@ -105,11 +110,6 @@
 	}
 }
 
-type noQuarantine struct{}
-
-// Quarantined reports false.
-func (noQuarantine) Quarantined(uint64) bool { return false }
-
 // streams hands each stream to the part that serves its first frame.
 type streams struct {
 	publisher  *publisher.Publisher
