Judge targets by the latency that their load does not explain

One slow success cleared its ejections. Relays dropped the times of cancelled runs, so they reported a slow target as fast. The admitter began at a limit of 2 and refused up to 1.9% of the queries at normal load.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -36,6 +36,8 @@
 	MaxQueries int
 	// MinLimit is the least number of queries that run at once under overload.
 	MinLimit float64
+	// Initial is the limit before anything is known.
+	Initial float64
 	// Target is the share of the deadline that queries take under overload. It
 	// leaves room for a straggler behind the queue.
 	Target float64
@@ -56,6 +58,7 @@
 	return Config{
 		MaxQueries: 4096,
 		MinLimit:   2,
+		Initial:    6,
 		Target:     0.5,
 		Slack:      10,
 		Gain:       0.25,
@@ -86,7 +89,7 @@
 }
 
 // New returns a state without history.
-func New(config Config) *State { return &State{config: config, limit: config.MinLimit} }
+func New(config Config) *State { return &State{config: config, limit: config.Initial} }
 
 // Running returns the number of admitted queries that have not ended.
 func (s *State) Running() int { return s.running }
--- a/core/dispatcher/target.go
+++ b/core/dispatcher/target.go
@@ -173,6 +173,8 @@
 		t.state.Done(t.timers.Now(), e.latency, false)
 	case peerpb.FailureKind_FAILURE_OVERLOADED:
 		t.state.Done(t.timers.Now(), e.latency, true)
+	case peerpb.FailureKind_FAILURE_CANCELLED:
+		t.finishCancelled(e)
 	default:
 		t.state.Release()
 	}
@@ -180,6 +182,14 @@
 	t.startQueued()
 }
 
+func (t *target) finishCancelled(e event) {
+	if e.result.Outcome == peerpb.Outcome_OUTCOME_NOT_RUN {
+		t.state.Release()
+		return
+	}
+	t.state.Cancelled(t.timers.Now(), e.latency)
+}
+
 func (t *target) startQueued() {
 	for len(t.queue) > 0 {
 		job := t.queue[0]
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -3,6 +3,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 )
 
@@ -67,6 +68,7 @@
 	since    time.Time
 	samples  int
 	latency  time.Duration
+	sampled  time.Time
 	backedAt time.Time
 }
 
@@ -139,6 +141,16 @@
 // Release counts the end of a running request that says nothing about load.
 func (s *State) Release() { s.inFlight-- }
 
+// Cancelled counts the end of a running request that was given up after the
+// given time, a lower bound of its latency. Without it the latency of a slow
+// target, whose requests all lose against their hedges, would never be seen.
+func (s *State) Cancelled(now time.Time, elapsed time.Duration) {
+	s.inFlight--
+	if elapsed > s.latency {
+		s.average(now, elapsed)
+	}
+}
+
 // shrink lowers the limit at most once per recent latency, because the
 // requests that already ran at the higher limit report the same overload.
 func (s *State) shrink(now time.Time) {
@@ -149,14 +161,24 @@
 	s.limit = max(s.limit*s.config.Backoff, s.config.Min)
 }
 
-// latencyWeight is the weight of a new sample in the moving average.
-const latencyWeight = 0.1
+// latencyWeight is the weight of a new sample in the moving average;
+// latencyLife is the pause after which a sample counts half.
+const (
+	latencyWeight = 0.1
+	latencyLife   = time.Second
+)
+
+func (s *State) average(now time.Time, latency time.Duration) {
+	weight := 1.0
+	if s.latency > 0 {
+		weight = max(latencyWeight, 1-math.Exp2(-float64(now.Sub(s.sampled))/float64(latencyLife)))
+	}
+	s.sampled = now
+	s.latency = time.Duration(weight*float64(latency) + (1-weight)*float64(s.latency))
+}
 
 func (s *State) observe(now time.Time, latency time.Duration) {
-	if s.latency == 0 {
-		s.latency = latency
-	}
-	s.latency = time.Duration(latencyWeight*float64(latency) + (1-latencyWeight)*float64(s.latency))
+	s.average(now, latency)
 	if now.Sub(s.since) >= s.config.Window {
 		s.previous, s.lowest, s.since, s.samples = s.lowest, 0, now, 0
 	}
--- a/core/scatterer/pick.go
+++ b/core/scatterer/pick.go
@@ -3,13 +3,12 @@
 import (
 	"time"
 
-	"jackdawcart.org/core/planner"
 	"jackdawcart.org/core/selector"
 )
 
 // pick chooses a replica that has not been tried for this sub-request and the
-// relay that the request goes through.
-func (q *query) pick(s *sub, now time.Time) (*planner.Replica, string, bool) {
+// relay that the attempt goes through.
+func (q *query) pick(s *sub, now time.Time) (*attempt, bool) {
 	candidates := make([]selector.Candidate, len(s.shard.Replicas))
 	for i, r := range s.shard.Replicas {
 		candidates[i] = selector.Candidate{
@@ -24,12 +23,12 @@
 	defer state.mu.Unlock()
 	chosen, ok := state.selector.Pick(now, state.rng, candidates, s.tried)
 	if !ok {
-		return nil, "", false
+		return nil, false
 	}
 	replica := s.shard.Replicas[chosen]
 	owner := state.selector.Owner(now, state.rng, replica.Target, replica.Owners)
-	state.selector.Started(replica.Target, owner)
-	return replica, owner, true
+	factor := state.selector.Started(now, candidates[chosen], owner)
+	return &attempt{replica: replica, relay: owner, factor: factor, sent: now}, true
 }
 
 func (s *sub) tried(target string) bool {
--- a/core/scatterer/query.go
+++ b/core/scatterer/query.go
@@ -68,8 +68,10 @@
 	number  uint32
 	replica *planner.Replica
 	relay   string
-	sent    time.Time
-	done    bool
+	// factor is the part of the latency that is due to the target's load.
+	factor float64
+	sent   time.Time
+	done   bool
 }
 
 func newQuery(e *Engine, id string, request *Request) *query {
@@ -162,11 +164,11 @@
 // start adds an attempt of a sub-request to the batch of a relay. It returns
 // false when no replica is left.
 func (q *query) start(s *sub, now time.Time, batches map[string]*peerpb.Batch) bool {
-	replica, owner, ok := q.pick(s, now)
+	a, ok := q.pick(s, now)
 	if !ok {
 		return false
 	}
-	a := &attempt{number: q.attempts, replica: replica, relay: owner, sent: now}
+	a.number = q.attempts
 	q.attempts++
 	s.attempts = append(s.attempts, a)
 	batch, ok := batches[a.relay]
@@ -177,9 +179,9 @@
 	batch.Subs = append(batch.Subs, &peerpb.SubRequest{
 		Sub:           s.number,
 		Attempt:       a.number,
-		Service:       replica.Service,
-		Target:        replica.Target,
-		TargetAddress: replica.Address.String(),
+		Service:       a.replica.Service,
+		Target:        a.replica.Target,
+		TargetAddress: a.replica.Address.String(),
 		Shard:         s.shard.Shard.Name,
 		Snapshot:      s.part.plan.Snapshot,
 	})
--- a/core/scatterer/receive.go
+++ b/core/scatterer/receive.go
@@ -47,7 +47,7 @@
 	latency := now.Sub(a.sent)
 	state := s.part.state
 	state.mu.Lock()
-	state.selector.Succeeded(now, a.replica.Target, latency)
+	state.selector.Succeeded(now, a.replica.Target, latency, a.factor)
 	state.mu.Unlock()
 	state.hedges.observe(now, latency)
 	if s.ended {
@@ -111,7 +111,7 @@
 	defer state.mu.Unlock()
 	switch kind {
 	case peerpb.FailureKind_FAILURE_CANCELLED:
-		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent))
+		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent), a.factor)
 	case peerpb.FailureKind_FAILURE_OVERLOADED, peerpb.FailureKind_FAILURE_DEADLINE,
 		peerpb.FailureKind_FAILURE_SNAPSHOT_GONE, peerpb.FailureKind_FAILURE_NOT_OWNER:
 		state.selector.Released(a.replica.Target)
@@ -159,7 +159,7 @@
 		a.done = true
 		state := s.part.state
 		state.mu.Lock()
-		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent))
+		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent), a.factor)
 		state.mu.Unlock()
 		// The time so far is a lower bound; without it the slow ones, which
 		// lose against their hedges, would be missing from the quantile.
@@ -194,6 +194,7 @@
 		InFlight: int(load.GetInFlight()),
 		Queued:   int(load.GetQueued()),
 		Limit:    int(load.GetLimit()),
+		Latency:  load.GetRecentLatency().AsDuration(),
 	}
 }
 
--- a/core/selector/load.go
+++ b/core/selector/load.go
@@ -7,6 +7,8 @@
 	InFlight int
 	Queued   int
 	Limit    int
+	// Latency is the recent mean latency of the relay's requests at the target.
+	Latency time.Duration
 }
 
 // ownerLoad is what one relay last reported of its share of a target.
@@ -20,6 +22,10 @@
 	sent   float64
 	queued int
 	limit  int
+	// latency is the reported one, as if alone at the target, and since is when
+	// it last changed.
+	latency, reportedLatency time.Duration
+	since                    time.Time
 }
 
 const (
@@ -40,6 +46,17 @@
 	o.queued, o.limit = load.Queued, load.Limit
 }
 
+// reportLatency takes over a reported latency, of which the given factor is
+// due to the load of the target.
+func (o *ownerLoad) reportLatency(now time.Time, latency time.Duration, factor float64) {
+	if latency == o.reportedLatency {
+		return
+	}
+	o.reportedLatency = latency
+	o.latency = time.Duration(float64(latency) / factor)
+	o.since = now
+}
+
 // estimate returns the requests that the relay has at the target by now.
 func (o *ownerLoad) estimate(now time.Time) float64 {
 	trust := float64(reportLife) / float64(reportLife+max(now.Sub(o.at), 0))
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -22,8 +22,11 @@
 	LatencyLife time.Duration
 	// EjectAfter is the number of failures in a row that sets a target aside.
 	EjectAfter int
-	// EjectLate is the number of requests in a row that lost against their
-	// hedge that sets a target aside; 0 means never.
+	// OutlierFactor is the multiple of the latency of all targets from which a
+	// latency counts as late.
+	OutlierFactor float64
+	// EjectLate is the number of late requests in a row that sets a target
+	// aside; 0 means never.
 	EjectLate int
 	// EjectFor is how long a target is set aside the first time; it doubles up
 	// to EjectMax while the target keeps failing.
@@ -47,11 +50,12 @@
 		Ramp:           5 * time.Second,
 		LatencyLife:    3 * time.Second,
 		EjectAfter:     3,
+		OutlierFactor:  6,
 		EjectLate:      3,
 		EjectFor:       500 * time.Millisecond,
 		EjectMax:       15 * time.Second,
 		MaxEjected:     0.5,
-		RemotePenalty:  1.1,
+		RemotePenalty:  1.05,
 		Choices:        3,
 	}
 }
@@ -72,6 +76,8 @@
 type State struct {
 	config  Config
 	targets map[string]*stats
+	// typical is the latency of all targets that are not outliers.
+	typical time.Duration
 }
 
 type stats struct {
@@ -79,6 +85,7 @@
 	latency      time.Duration
 	sampled      time.Time
 	late         int
+	slots        int
 	owners       map[string]*ownerLoad
 	failures     int
 	ejections    int
@@ -171,6 +178,7 @@
 // score estimates the time that a further request would take.
 func (s *State) score(now time.Time, c Candidate) float64 {
 	t := s.get(c.Target)
+	t.slots = c.Slots
 	score := float64(s.latency(now, t)) * crowding(t.outstanding(now)+1, c.Slots)
 	if !c.Local {
 		score *= s.config.RemotePenalty
@@ -181,17 +189,28 @@
 	return score
 }
 
-// latency returns the expected latency of a target.
+// latency returns the expected latency of a target that nothing else runs at:
+// the highest of what this gateway and the relays know, so that a gateway that
+// has not asked a slow target itself avoids it too.
 func (s *State) latency(now time.Time, t *stats) time.Duration {
-	initial := s.config.InitialLatency
-	if t.latency == 0 {
-		return initial
+	latency := s.config.InitialLatency
+	if t.latency > 0 {
+		latency = s.faded(now, t.latency, t.sampled)
 	}
-	if t.latency <= initial || s.config.LatencyLife <= 0 {
-		return t.latency
+	for _, o := range t.owners {
+		latency = max(latency, s.faded(now, o.latency, o.since))
 	}
-	lives := float64(now.Sub(t.sampled)) / float64(s.config.LatencyLife)
-	return initial + time.Duration(float64(t.latency-initial)*math.Exp2(-lives))
+	return latency
+}
+
+// faded returns what counts of a latency that was last sampled some time ago.
+func (s *State) faded(now time.Time, latency time.Duration, sampled time.Time) time.Duration {
+	initial := s.config.InitialLatency
+	if latency <= initial || s.config.LatencyLife <= 0 {
+		return latency
+	}
+	lives := float64(now.Sub(sampled)) / float64(s.config.LatencyLife)
+	return initial + time.Duration(float64(latency-initial)*math.Exp2(-lives))
 }
 
 // busyWeight makes a target with an idle slot better the more slots are idle.
@@ -216,6 +235,15 @@
 	return max(sum, float64(t.inFlight))
 }
 
+// usual returns the mean number of requests that all relays have at the target.
+func (t *stats) usual() float64 {
+	var sum float64
+	for _, o := range t.owners {
+		sum += o.mean
+	}
+	return sum
+}
+
 // Owner returns the relay with the least requests at a target, for its number
 // of connections and with ties broken at random.
 func (s *State) Owner(now time.Time, rng *rand.Rand, target string, owners []string) string {
@@ -250,24 +278,53 @@
 	return false
 }
 
-// Started counts a request sent to a target through a relay.
-func (s *State) Started(target, owner string) {
-	t := s.get(target)
+// Started counts a request sent to a target through a relay. It returns the
+// factor by which the load of the target lengthens the request, which is to be
+// given back at its end.
+func (s *State) Started(now time.Time, c Candidate, owner string) float64 {
+	t := s.get(c.Target)
+	factor := crowding(t.outstanding(now)+1, c.Slots)
 	t.inFlight++
 	if o, ok := t.owners[owner]; ok {
 		o.sent++
 	}
+	return factor
 }
 
-// Succeeded counts an answer and its latency.
-func (s *State) Succeeded(now time.Time, target string, latency time.Duration) {
+// Succeeded counts an answer and its latency, of which the given factor is due
+// to the load of the target.
+func (s *State) Succeeded(now time.Time, target string, latency time.Duration, factor float64) {
 	t := s.get(target)
 	t.inFlight = max(t.inFlight-1, 0)
 	t.failures = 0
+	alone := time.Duration(float64(latency) / factor)
+	if s.outlier(alone) {
+		s.countLate(now, t, alone)
+		return
+	}
 	t.late = 0
 	t.ejections = 0
 	t.ejectedUntil = time.Time{}
+	s.observe(now, t, alone)
+	s.typical = average(s.typical, alone, typicalWeight)
+}
+
+// typicalWeight is the weight of a sample in the latency of all targets.
+const typicalWeight = 0.02
+
+// outlier reports whether a latency is far above that of all targets.
+func (s *State) outlier(latency time.Duration) bool {
+	return s.typical > 0 && float64(latency) > s.config.OutlierFactor*float64(s.typical)
+}
+
+// countLate takes a latency far above the others into account. Several in a
+// row set the target aside; one alone is a straggler.
+func (s *State) countLate(now time.Time, t *stats, latency time.Duration) {
 	s.observe(now, t, latency)
+	t.late++
+	if s.config.EjectLate > 0 && t.late >= s.config.EjectLate {
+		s.eject(now, t)
+	}
 }
 
 // lateFactor turns the time after which a request was given up into an
@@ -275,19 +332,13 @@
 const lateFactor = 2
 
 // Cancelled counts a request that was given up after the given time, because
-// another replica answered first or because the query ended. Several in a row
-// set the target aside: its true latencies are never seen, so the average
-// alone would stay near the hedge delay.
-func (s *State) Cancelled(now time.Time, target string, elapsed time.Duration) {
+// another replica answered first or because the query ended. The true latency
+// is never seen, so the time alone would keep the average near the hedge delay.
+func (s *State) Cancelled(now time.Time, target string, elapsed time.Duration, factor float64) {
 	t := s.get(target)
 	t.inFlight = max(t.inFlight-1, 0)
-	if elapsed <= s.latency(now, t) {
-		return
-	}
-	s.observe(now, t, lateFactor*elapsed)
-	t.late++
-	if s.config.EjectLate > 0 && t.late >= s.config.EjectLate {
-		s.eject(now, t)
+	if alone := time.Duration(float64(lateFactor*elapsed) / factor); s.outlier(alone) {
+		s.countLate(now, t, alone)
 	}
 }
 
@@ -309,6 +360,7 @@
 		t.owners[owner] = o
 	}
 	o.report(now, load)
+	o.reportLatency(now, load.Latency, crowding(t.usual(), t.slots))
 }
 
 // Failed counts a failure; several in a row set the target aside.
@@ -330,13 +382,19 @@
 }
 
 func (s *State) observe(now time.Time, t *stats, latency time.Duration) {
+	if t.latency > 0 {
+		t.latency = s.faded(now, t.latency, t.sampled)
+	}
 	t.sampled = now
-	if t.latency == 0 {
-		t.latency = latency
-		return
+	t.latency = average(t.latency, latency, s.config.LatencyWeight)
+}
+
+// average adds a sample to a moving average that begins with the first one.
+func average(mean, sample time.Duration, weight float64) time.Duration {
+	if mean == 0 {
+		return sample
 	}
-	w := s.config.LatencyWeight
-	t.latency = time.Duration(w*float64(latency) + (1-w)*float64(t.latency))
+	return time.Duration(weight*float64(sample) + (1-weight)*float64(mean))
 }
 
 func (s *State) get(target string) *stats {
