--- a/core/distributor/distributor.go
+++ b/core/distributor/distributor.go
@@ -58,6 +58,7 @@
 	ready         bool
 	equal         container.Set[string]
 	equalReady    bool
+	started       bool
 
 	peers      []Peer
 	neighbours []string
@@ -158,9 +159,12 @@
 	if !now.Before(d.nextDigest) {
 		d.nextDigest = now.Add(digestPeriod)
 		count := 1
-		if !d.ready {
+		// A starting node asks one peer first, because each answer to a node
+		// without documents is the whole configuration.
+		if !d.ready && d.started {
 			count = startPeers
 		}
+		d.started = len(d.peers) > 0
 		for _, peer := range d.pick(rng, count, "") {
 			out = append(out, d.digest(peer))
 		}
