--- a/core/scatterer/query.go
+++ b/core/scatterer/query.go
@@ -35,8 +35,18 @@
 	open     int
 	stats    Stats
 	attempts uint32
+	// lost holds the targets whose connections broke while they ran a part of
+	// the query.
+	lost container.Set[string]
 }
 
+// maxLost is the number of targets that a query may lose before it is sent to
+// no further one: the query itself may be what takes them down.
+const maxLost = 2
+
+// suspect reports whether no further target may be put at risk.
+func (q *query) suspect() bool { return len(q.lost) >= maxLost }
+
 // part is the share of one service in a query.
 type part struct {
 	entry    *planner.Service
@@ -68,8 +78,10 @@
 	number  uint32
 	replica *planner.Replica
 	relay   string
-	sent    time.Time
-	done    bool
+	// factor is the part of the latency that is due to the target's load.
+	factor float64
+	sent   time.Time
+	done   bool
 }
 
 func newQuery(e *Engine, id string, request *Request) *query {
@@ -78,6 +90,7 @@
 		id:       id,
 		request:  request,
 		deadline: request.Deadline.Add(-e.config.AnswerMargin),
+		lost:     container.NewSet[string](),
 	}
 	for _, entry := range request.Services {
 		p := &part{entry: entry, state: e.service(entry), gone: container.NewSet[string]()}
@@ -162,11 +175,11 @@
 // start adds an attempt of a sub-request to the batch of a relay. It returns
 // false when no replica is left.
 func (q *query) start(s *sub, now time.Time, batches map[string]*peerpb.Batch) bool {
-	replica, owner, ok := q.pick(s, now)
+	a, ok := q.pick(s, now)
 	if !ok {
 		return false
 	}
-	a := &attempt{number: q.attempts, replica: replica, relay: owner, sent: now}
+	a.number = q.attempts
 	q.attempts++
 	s.attempts = append(s.attempts, a)
 	batch, ok := batches[a.relay]
@@ -177,9 +190,9 @@
 	batch.Subs = append(batch.Subs, &peerpb.SubRequest{
 		Sub:           s.number,
 		Attempt:       a.number,
-		Service:       replica.Service,
-		Target:        replica.Target,
-		TargetAddress: replica.Address.String(),
+		Service:       a.replica.Service,
+		Target:        a.replica.Target,
+		TargetAddress: a.replica.Address.String(),
 		Shard:         s.shard.Shard.Name,
 		Snapshot:      s.part.plan.Snapshot,
 	})
@@ -234,7 +247,7 @@
 // hedge sends a late sub-request to a second replica if the budget allows.
 func (q *query) hedge(s *sub, now time.Time, batches map[string]*peerpb.Batch) {
 	s.hedgeAt = q.deadline
-	if q.engine.config.DisableHedges || len(s.attempts) >= q.engine.config.MaxAttempts {
+	if q.engine.config.DisableHedges || len(s.attempts) >= q.engine.config.MaxAttempts || q.suspect() {
 		return
 	}
 	if !s.part.state.hedges.withdraw() {
--- a/core/scatterer/receive.go
+++ b/core/scatterer/receive.go
@@ -17,7 +17,8 @@
 	for _, s := range q.subs {
 		for _, a := range s.attempts {
 			if !a.done && a.relay == e.lostRelay {
-				q.fail(s, a.number, peerpb.FailureKind_FAILURE_LOST, batches)
+				// The loss says nothing about the target.
+				q.fail(s, a.number, peerpb.FailureKind_FAILURE_NOT_OWNER, batches)
 			}
 		}
 	}
@@ -63,7 +64,7 @@
 	latency := now.Sub(a.sent)
 	state := s.part.state
 	state.mu.Lock()
-	state.selector.Succeeded(now, a.replica.Target, latency)
+	state.selector.Succeeded(now, a.replica.Target, latency, a.factor)
 	state.mu.Unlock()
 	state.hedges.observe(now, latency)
 	if s.ended {
@@ -104,6 +105,9 @@
 		return
 	}
 	a.done = true
+	if kind == peerpb.FailureKind_FAILURE_LOST {
+		q.lost.Add(a.replica.Target)
+	}
 	now := q.engine.timers.Now()
 	q.noteFailure(s, a, kind, now)
 	if s.ended {
@@ -128,7 +132,7 @@
 	defer state.mu.Unlock()
 	switch kind {
 	case peerpb.FailureKind_FAILURE_CANCELLED:
-		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent))
+		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent), a.factor)
 	case peerpb.FailureKind_FAILURE_OVERLOADED, peerpb.FailureKind_FAILURE_DEADLINE,
 		peerpb.FailureKind_FAILURE_SNAPSHOT_GONE, peerpb.FailureKind_FAILURE_NOT_OWNER:
 		state.selector.Released(a.replica.Target)
@@ -140,7 +144,7 @@
 // retry starts another attempt. Attempts that follow one which cost a target
 // nothing are free; all others share the budget of the hedges.
 func (q *query) retry(s *sub, kind peerpb.FailureKind, now time.Time, batches map[string]*peerpb.Batch) bool {
-	if len(s.attempts) >= q.engine.config.MaxAttempts || !now.Before(q.deadline) {
+	if len(s.attempts) >= q.engine.config.MaxAttempts || !now.Before(q.deadline) || q.suspect() {
 		return false
 	}
 	free := costsNothing(kind)
@@ -176,7 +180,7 @@
 		a.done = true
 		state := s.part.state
 		state.mu.Lock()
-		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent))
+		state.selector.Cancelled(now, a.replica.Target, now.Sub(a.sent), a.factor)
 		state.mu.Unlock()
 		// The time so far is a lower bound; without it the slow ones, which
 		// lose against their hedges, would be missing from the quantile.
@@ -211,6 +215,7 @@
 		InFlight: int(load.GetInFlight()),
 		Queued:   int(load.GetQueued()),
 		Limit:    int(load.GetLimit()),
+		Latency:  load.GetRecentLatency().AsDuration(),
 	}
 }
 
