Set the latency of all targets apart from that of a slow first one

Change: the usual latency falls faster than it rises, an old latency fades below it, and chance decides between scores that differ by less than 5%. The admission starts at a limit of 5 with a target of 55% of the deadline.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -58,10 +58,10 @@
 	return Config{
 		MaxQueries: 4096,
 		MinLimit:   2,
-		Initial:    6,
-		Target:     0.5,
+		Initial:    5,
+		Target:     0.55,
 		Slack:      10,
-		Gain:       0.25,
+		Gain:       0.2,
 		UsedWeight: 0.2,
 		Shares:     [priorities]float64{Low: 0.75, Normal: 1, High: 1.5},
 	}
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -17,8 +17,8 @@
 	// Ramp is how long a new target takes to reach its full share.
 	Ramp time.Duration
 	// LatencyLife is the time without a sample after which half of what a
-	// target's latency has above the initial one is forgotten, so that a target
-	// that was slow is tried again.
+	// target's latency has above that of all targets is forgotten, so that a
+	// target that was slow is tried again.
 	LatencyLife time.Duration
 	// EjectAfter is the number of failures in a row that sets a target aside.
 	EjectAfter int
@@ -50,7 +50,7 @@
 		Ramp:           5 * time.Second,
 		LatencyLife:    3 * time.Second,
 		EjectAfter:     3,
-		OutlierFactor:  6,
+		OutlierFactor:  8,
 		EjectLate:      3,
 		EjectFor:       500 * time.Millisecond,
 		EjectMax:       15 * time.Second,
@@ -76,7 +76,7 @@
 type State struct {
 	config  Config
 	targets map[string]*stats
-	// typical is the latency of all targets that are not outliers.
+	// typical is a low latency of all targets that are not outliers.
 	typical time.Duration
 }
 
@@ -117,13 +117,17 @@
 	rng.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	best := usable[0]
 	for _, i := range usable[1:choices] {
-		if s.score(now, candidates[i]) < s.score(now, candidates[best]) {
+		if s.score(now, candidates[i]) < clearlyBetter*s.score(now, candidates[best]) {
 			best = i
 		}
 	}
 	return best, true
 }
 
+// clearlyBetter is the share of a score below which another one wins. Between
+// closer ones chance decides, so that each keeps being tried.
+const clearlyBetter = 0.95
+
 // usable drops ejected candidates, but never more than the allowed share, so
 // that a misleading signal cannot empty a set.
 func (s *State) usable(now time.Time, candidates []Candidate, skip func(string) bool) []int {
@@ -203,14 +207,22 @@
 	return latency
 }
 
+// probeShare of the usual latency is what a latency fades to, so that a target
+// without samples becomes attractive and is tried again.
+const probeShare = 0.8
+
 // faded returns what counts of a latency that was last sampled some time ago.
 func (s *State) faded(now time.Time, latency time.Duration, sampled time.Time) time.Duration {
-	initial := s.config.InitialLatency
-	if latency <= initial || s.config.LatencyLife <= 0 {
+	usual := s.typical
+	if usual == 0 {
+		usual = s.config.InitialLatency
+	}
+	if latency <= usual || s.config.LatencyLife <= 0 {
 		return latency
 	}
+	usual = time.Duration(probeShare * float64(usual))
 	lives := float64(now.Sub(sampled)) / float64(s.config.LatencyLife)
-	return initial + time.Duration(float64(latency-initial)*math.Exp2(-lives))
+	return usual + time.Duration(float64(latency-usual)*math.Exp2(-lives))
 }
 
 // busyWeight makes a target with an idle slot better the more slots are idle.
@@ -306,11 +318,23 @@
 	t.ejections = 0
 	t.ejectedUntil = time.Time{}
 	s.observe(now, t, alone)
-	s.typical = average(s.typical, alone, typicalWeight)
+	s.observeTypical(alone)
 }
 
-// typicalWeight is the weight of a sample in the latency of all targets.
-const typicalWeight = 0.02
+// Weights of a sample in the latency of all targets. It falls faster than it
+// rises, so that a slow target, if asked first, does not set it for long.
+const (
+	typicalRise = 0.02
+	typicalFall = 0.2
+)
+
+func (s *State) observeTypical(latency time.Duration) {
+	if s.typical == 0 || latency < s.typical {
+		s.typical = average(s.typical, latency, typicalFall)
+		return
+	}
+	s.typical = average(s.typical, min(latency, 2*s.typical), typicalRise)
+}
 
 // outlier reports whether a latency is far above that of all targets.
 func (s *State) outlier(latency time.Duration) bool {
