--- a/core/evaluator/cluster.go
+++ b/core/evaluator/cluster.go
@@ -21,8 +21,11 @@
 	newSnapshot   = "s2"
 	owners        = 2
 	replaceSpread = 300 * time.Millisecond
-	reportDelay   = 20 * time.Millisecond
-	shardWeight   = 100
+	// A target drops the old snapshot before its relays report the new one, so
+	// that queries meet the replacement.
+	replaceOverlap = 10 * time.Millisecond
+	reportDelay    = 20 * time.Millisecond
+	shardWeight    = 100
 	// settled is how long targets have served when a run begins.
 	settled = time.Hour
 )
--- a/core/evaluator/run.go
+++ b/core/evaluator/run.go
@@ -110,8 +110,7 @@
 	if r.scenario.ReplaceAt == 0 {
 		return
 	}
-	loaded := r.scenario.ReplaceAt + replaceSpread*time.Duration(spec.index)/time.Duration(len(r.specs))
-	r.at(loaded+reportDelay, func() {
+	r.at(spec.loadedNew+reportDelay, func() {
 		r.report(spec, peerpb.TargetPhase_TARGET_PHASE_SERVING, time.Now(), oldSnapshot, newSnapshot)
 	})
 	r.at(spec.droppedOld+reportDelay, func() {
--- a/core/evaluator/scenario.go
+++ b/core/evaluator/scenario.go
@@ -94,8 +94,9 @@
 	service        *Service
 	shard          string
 	faults         []Fault
-	// droppedOld is when the target gives up the first snapshot.
-	droppedOld time.Duration
+	// loadedNew is when the target begins to hold the second snapshot,
+	// droppedOld when it gives up the first one.
+	loadedNew, droppedOld time.Duration
 }
 
 // factor returns the multiple of the service times at a moment.
@@ -159,7 +160,8 @@
 		t.faults = append(t.faults, s.noise(rng)...)
 	}
 	if s.ReplaceAt > 0 {
-		t.droppedOld = s.ReplaceAt + replaceSpread + time.Duration(rng.Int64N(int64(replaceSpread)))
+		t.loadedNew = s.ReplaceAt + replaceSpread*time.Duration(replica)/time.Duration(service.Replicas)
+		t.droppedOld = t.loadedNew + replaceOverlap
 	}
 	return t
 }
