--- a/core/evaluator/run.go
+++ b/core/evaluator/run.go
@@ -79,6 +79,7 @@
 	g := &gateway{run: r, domain: domain}
 	config := r.variant.Scatterer
 	config.FailureDomain = domain
+	config.Seed = r.scenario.Seed<<8 + uint64(len(r.gateways)) + 1
 	g.engine = scatterer.New(config, r.timers, r.table, g)
 	if r.variant.Admitter != nil {
 		seed := r.scenario.Seed + uint64(len(r.gateways))
--- a/core/scatterer/engine.go
+++ b/core/scatterer/engine.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"jackdawcart.org/core/buffer"
@@ -39,6 +40,9 @@
 	MaxRestarts int
 	Selector    selector.Config
 	Hedger      hedger.Config
+	// Seed makes the random choices repeatable; 0 means that they differ in each
+	// process.
+	Seed uint64
 	// DisableHedges switches hedging off, for comparison.
 	DisableHedges bool
 }
@@ -172,6 +176,14 @@
 	return q.answer()
 }
 
+func (e *Engine) newRand(service string) *rand.Rand {
+	seed := e.config.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(service)))
+}
+
 func (e *Engine) service(entry *planner.Service) *serviceState {
 	name := entry.Document.Service
 	e.mu.Lock()
@@ -179,7 +191,7 @@
 	state, ok := e.services[name]
 	if !ok {
 		state = &serviceState{
-			rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			rng:      e.newRand(name),
 			selector: selector.New(e.config.Selector),
 			hedges:   newHedges(e.config.Hedger, e.hedges),
 		}
