Halve the weight of one latency in replica choice

Cause: one straggler doubled the expected latency of a healthy replica at a weight of 0.2, which turned its queries to the others.

--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -45,7 +45,7 @@
 // DefaultConfig returns the constants used in production.
 func DefaultConfig() Config {
 	return Config{
-		LatencyWeight:  0.2,
+		LatencyWeight:  0.1,
 		InitialLatency: 10 * time.Millisecond,
 		Ramp:           5 * time.Second,
 		LatencyLife:    3 * time.Second,
