--- a/core/evaluator/run.go
+++ b/core/evaluator/run.go
@@ -79,6 +79,7 @@
 	g := &gateway{run: r, domain: domain}
 	config := r.variant.Scatterer
 	config.FailureDomain = domain
+	config.Seed = r.scenario.Seed<<8 + uint64(len(r.gateways)) + 1
 	g.engine = scatterer.New(config, r.timers, r.table, g)
 	if r.variant.Admitter != nil {
 		seed := r.scenario.Seed + uint64(len(r.gateways))
@@ -110,8 +111,7 @@
 	if r.scenario.ReplaceAt == 0 {
 		return
 	}
-	loaded := r.scenario.ReplaceAt + replaceSpread*time.Duration(spec.index)/time.Duration(len(r.specs))
-	r.at(loaded+reportDelay, func() {
+	r.at(spec.loadedNew+reportDelay, func() {
 		r.report(spec, peerpb.TargetPhase_TARGET_PHASE_SERVING, time.Now(), oldSnapshot, newSnapshot)
 	})
 	r.at(spec.droppedOld+reportDelay, func() {
