Bound callers' connections; repeat unchanged lists of leaving VMs seldom

The setting for the most caller connections was read by nothing; a listener limit from golang.org/x/net now applies it. A reader told every member the list of leaving VMs each second, about 17 KB/s at 289 members by arithmetic; it now sends changes at once and repeats a list that is not empty every 3 s. A VM counts as leaving for 10 s after it was last named, since two readers of a lagging list may disagree. TestLeavingTarget and TestTooManyAtOnce pass.

--- a/gateway/runner/run.go
+++ b/gateway/runner/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"jackdawcart.org/core/acceptor"
 	"jackdawcart.org/core/adminapi"
@@ -166,6 +167,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	listener = netutil.LimitListener(listener, settings.MaxCallerConnections)
 	server := &http.Server{
 		Handler:           closeOnLeave(http.MaxBytesHandler(api, int64(settings.MaxBodyBytes)), respond),
 		ReadHeaderTimeout: settings.HeaderTimeout,
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -12,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/dispatcher"
 	"jackdawcart.org/core/limiter"
 	"jackdawcart.org/core/messenger/peerpb"
@@ -27,6 +25,9 @@
 	// target must stop getting work.
 	statusPeriod  = 500 * time.Millisecond
 	statusTimeout = 400 * time.Millisecond
+	// leavingMemory is how long a VM counts as leaving after the platform has
+	// last named it. It exceeds several periods of the readers' news.
+	leavingMemory = 10 * time.Second
 	// lostAfter is the number of failed status calls after which a target
 	// counts as lost.
 	lostAfter = 2
@@ -77,7 +78,7 @@
 	log         *zap.Logger
 
 	mu      sync.Mutex
-	leaving container.Set[string]
+	leaving map[string]time.Time
 	owned   map[netip.AddrPort]*ownedTarget
 	closing map[*pooler.Pool]netip.AddrPort
 	running sync.WaitGroup
@@ -88,7 +89,7 @@
 	return &Connector{
 		relay: relay, incarnation: incarnation, timers: timers, dispatcher: d,
 		publisher: p, tracer: t, log: log,
-		leaving: container.NewSet[string](),
+		leaving: make(map[string]time.Time),
 		owned:   make(map[netip.AddrPort]*ownedTarget),
 		closing: make(map[*pooler.Pool]netip.AddrPort),
 	}
@@ -118,25 +119,34 @@
 	}
 }
 
-// SetLeaving names the VMs that the platform says are leaving, by name or by
-// address. A target on one of them gets no new work.
-func (c *Connector) SetLeaving(names, addresses []string) {
-	leaving := container.NewSet(append(slices.Clone(names), addresses...)...)
+// MarkLeaving names VMs that the platform says are leaving, by name or by
+// address. A target on one of them gets no new work until the platform has not
+// named it for some time, because two readers of a lagging list may disagree.
+func (c *Connector) MarkLeaving(names, addresses []string) {
+	until := c.timers.Now().Add(leavingMemory)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if maps.Equal(c.leaving, leaving) {
-		return
+	for _, vm := range append(slices.Clone(names), addresses...) {
+		c.leaving[vm] = until
 	}
-	c.leaving = leaving
 	for _, owned := range c.owned {
-		owned.pollNow()
+		if c.leavingLocked(owned.config) && !owned.leaving {
+			owned.leaving = true
+			owned.pollNow()
+		}
 	}
 }
 
-func (c *Connector) isLeaving(t Target) bool {
+func (c *Connector) leavingLocked(t Target) bool {
+	now := c.timers.Now()
+	return now.Before(c.leaving[t.Name]) || now.Before(c.leaving[t.Address.String()])
+}
+
+func (c *Connector) isLeaving(o *ownedTarget) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leaving.Has(t.Name) || c.leaving.Has(t.Address.String())
+	o.leaving = c.leavingLocked(o.config)
+	return o.leaving
 }
 
 // Connections is what a relay holds at one target.
--- a/relay/connector/target.go
+++ b/relay/connector/target.go
@@ -21,6 +21,8 @@
 	stop      context.CancelFunc
 	// poll asks for a status call at once.
 	poll chan struct{}
+	// leaving is guarded by the connector's lock.
+	leaving bool
 
 	// refused is when an answer last said that the target drains, in Unix
 	// nanoseconds. The status may lag behind it.
@@ -133,7 +135,7 @@
 // publish announces the state if it has changed. A lost target keeps its
 // snapshots, so that coverage is still stated against their shard maps.
 func (o *ownedTarget) publish(phase peerpb.TargetPhase, snapshots []pooler.Snapshot) {
-	if o.connector.isLeaving(o.config) {
+	if o.connector.isLeaving(o) {
 		phase = peerpb.TargetPhase_TARGET_PHASE_DRAINING
 	}
 	next := &peerpb.TargetState{
--- a/relay/controller/controller.go
+++ b/relay/controller/controller.go
@@ -94,7 +94,10 @@
 	askedVMs  time.Time
 	vmSeeds   []seed
 	meetAt    time.Time
-	agedAt    time.Time
+	// toldLeaving is what was last sent about leaving VMs, and toldAt when.
+	toldLeaving *peerpb.LeavingVMs
+	toldAt      time.Time
+	agedAt      time.Time
 }
 
 // event is one input of the control loop.
@@ -207,7 +210,7 @@
 	}
 	switch kind := e.frame.Kind.(type) {
 	case *peerpb.Frame_LeavingVms:
-		c.config.Connector.SetLeaving(kind.LeavingVms.Names, kind.LeavingVms.Addresses)
+		c.config.Connector.MarkLeaving(kind.LeavingVms.Names, kind.LeavingVms.Addresses)
 		return
 	case *peerpb.Frame_LostTarget:
 		c.config.Quarantine.HandleLost(kind.LostTarget)
--- a/relay/controller/store.go
+++ b/relay/controller/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"jackdawcart.org/core/distributor"
 	"jackdawcart.org/core/keeper"
@@ -22,6 +23,9 @@
 	relistPeriod = time.Minute
 	// vmPeriod is how often a reader asks for the list of VMs.
 	vmPeriod = time.Second
+	// leavingPeriod is how often an unchanged list of leaving VMs is repeated,
+	// for members that have joined since.
+	leavingPeriod = 3 * time.Second
 )
 
 // readStore keeps one call to the store under way while this node is a reader.
@@ -100,7 +104,19 @@
 			c.vmSeeds = append(c.vmSeeds, seed{netip.AddrPortFrom(vm.Address.Addr(), port), vm.FailureDomain})
 		}
 	}
-	c.config.Connector.SetLeaving(leaving.Names, leaving.Addresses)
+	c.config.Connector.MarkLeaving(leaving.Names, leaving.Addresses)
+	c.tellLeaving(leaving)
+}
+
+// tellLeaving sends the leaving VMs to the members: at once when they change,
+// else at a low rate, since each message goes to a whole failure domain.
+func (c *Controller) tellLeaving(leaving *peerpb.LeavingVMs) {
+	now := c.config.Timers.Now()
+	changed := !proto.Equal(leaving, c.toldLeaving)
+	if !changed && (len(leaving.Names) == 0 || now.Sub(c.toldAt) < leavingPeriod) {
+		return
+	}
+	c.toldLeaving, c.toldAt = leaving, now
 	frame := &peerpb.Frame{Kind: &peerpb.Frame_LeavingVms{LeavingVms: leaving}}
 	for _, m := range c.detector.Members() {
 		if m.State.Live() && m.Node != c.config.Settings.Node {
