--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,6 +78,8 @@
 	tracer      *tracer.Tracer
 	log         *zap.Logger
 
+	loads atomic.Pointer[loads]
+
 	mu      sync.Mutex
 	leaving map[string]time.Time
 	owned   map[netip.AddrPort]*ownedTarget
--- a/relay/forwarder/forwarder.go
+++ b/relay/forwarder/forwarder.go
@@ -19,11 +19,17 @@
 	Quarantined(fingerprint uint64) bool
 }
 
+// Loads gives the loads of the owned targets of a service.
+type Loads interface {
+	Loads(service string) []*peerpb.NamedLoad
+}
+
 // Forwarder serves the data streams of gateways.
 type Forwarder struct {
 	timers     *timer.Service
 	dispatcher *dispatcher.Dispatcher
 	quarantine Quarantine
+	loads      Loads
 	maximum    int64
 	log        *zap.Logger
 	held       atomic.Int64
@@ -31,8 +37,8 @@
 }
 
 // New returns a forwarder that holds at most maximum sub-requests at once.
-func New(timers *timer.Service, d *dispatcher.Dispatcher, quarantine Quarantine, maximum int, log *zap.Logger) *Forwarder {
-	return &Forwarder{timers: timers, dispatcher: d, quarantine: quarantine, maximum: int64(maximum), log: log}
+func New(timers *timer.Service, d *dispatcher.Dispatcher, quarantine Quarantine, loads Loads, maximum int, log *zap.Logger) *Forwarder {
+	return &Forwarder{timers: timers, dispatcher: d, quarantine: quarantine, loads: loads, maximum: int64(maximum), log: log}
 }
 
 // Held returns the number of requests that have not been answered.
@@ -90,6 +96,7 @@
 					Snapshot: result.Snapshot,
 					Shard:    result.Shard,
 					Load:     result.Load,
+					Loads:    f.loads.Loads(sub.Service),
 				}}})
 			},
 		})
--- a/relay/runner/run.go
+++ b/relay/runner/run.go
@@ -59,7 +59,7 @@
 	inspect := inspector.New(incarnation, timers, publish, log)
 	dispatch := dispatcher.New(timers, inspect)
 	connect := connector.New(settings.Node, incarnation, timers, dispatch, publish, spans, log)
-	forward := forwarder.New(timers, dispatch, inspect, settings.MaxSubRequests, log)
+	forward := forwarder.New(timers, dispatch, inspect, connect, settings.MaxSubRequests, log)
 	peers := messenger.NewPeers(keys, hello)
 	control := controller.New(controller.Config{
 		Settings: settings, Incarnation: incarnation, Version: version, Timers: timers,
