Keep a released target from being announced again

The watch of a target announced a status answer without the lock under which the target is released. An answer that came in between was announced after the release, so gateways and relays kept this relay as an owner, with a phase that nothing updated. The watch also read the target's configuration while a change of the allotment wrote it. A cancelled status call was ruled out: it announces nothing.

Before: TestReleasedTargetIsNotAnnouncedAgain fails; after: it passes with the race detector.

--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -133,9 +133,8 @@
 	}
 }
 
+// isLeaving is called with the lock held.
 func (c *Connector) isLeaving(t Target) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	return c.leaving.Has(t.Name) || c.leaving.Has(t.Address.String())
 }
 
--- a/relay/connector/target.go
+++ b/relay/connector/target.go
@@ -16,9 +16,10 @@
 // ownedTarget watches one target; its goroutine owns the state.
 type ownedTarget struct {
 	connector *Connector
-	config    Target
-	pool      *pooler.Pool
-	stop      context.CancelFunc
+	// config is fixed but for the allotment, which the connector's lock guards.
+	config Target
+	pool   *pooler.Pool
+	stop   context.CancelFunc
 	// poll asks for a status call at once.
 	poll chan struct{}
 
@@ -133,9 +134,33 @@
 // publish announces the state if it has changed. A lost target keeps its
 // snapshots, so that coverage is still stated against their shard maps.
 func (o *ownedTarget) publish(phase peerpb.TargetPhase, snapshots []pooler.Snapshot) {
+	// The lock orders this report before the one that releases the target.
+	o.connector.mu.Lock()
+	defer o.connector.mu.Unlock()
+	if o.connector.owned[o.config.Address] != o {
+		return
+	}
 	if o.connector.isLeaving(o.config) {
 		phase = peerpb.TargetPhase_TARGET_PHASE_DRAINING
 	}
+	next := o.report(phase, snapshots)
+	if o.state != nil && proto.Equal(next, o.state) {
+		return
+	}
+	// The start time makes sequences grow over a change of the configuration,
+	// which replaces the watch.
+	o.sequence = max(o.sequence+1, uint64(time.Now().UnixNano()))
+	next.Sequence = o.sequence
+	if o.state == nil || o.state.Phase != phase {
+		o.connector.log.Info("target changed phase", zap.String("service", next.Service), zap.String("set", next.Set),
+			zap.String("target", next.Target), zap.Stringer("phase", phase))
+	}
+	o.state = next
+	o.connector.publisher.PutTarget(next)
+}
+
+// report returns the state to announce, with the sequence of the last one.
+func (o *ownedTarget) report(phase peerpb.TargetPhase, snapshots []pooler.Snapshot) *peerpb.TargetState {
 	next := &peerpb.TargetState{
 		Service:       o.config.Service,
 		Set:           o.config.Set,
@@ -153,20 +178,8 @@
 	}
 	if o.state != nil {
 		next.Sequence = o.state.Sequence
-		if proto.Equal(next, o.state) {
-			return
-		}
-	}
-	// The start time makes sequences grow over a change of the configuration,
-	// which replaces the watch.
-	o.sequence = max(o.sequence+1, uint64(time.Now().UnixNano()))
-	next.Sequence = o.sequence
-	if o.state == nil || o.state.Phase != phase {
-		o.connector.log.Info("target changed phase", zap.String("service", next.Service), zap.String("set", next.Set),
-			zap.String("target", next.Target), zap.Stringer("phase", phase))
 	}
-	o.state = next
-	o.connector.publisher.PutTarget(next)
+	return next
 }
 
 func convert(snapshots []pooler.Snapshot) []*peerpb.Snapshot {
