--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -55,9 +55,11 @@
 	Owners int
 }
 
-// sameTarget reports whether only the allotment differs.
+// sameTarget reports whether only the shares of the relays differ. The number
+// of owners gives the least limit at the start; a change of it, as often as the
+// members change, is not worth the loss of connections and queued requests.
 func (t Target) sameTarget(other Target) bool {
-	t.Allotment = other.Allotment
+	t.Allotment, t.Owners = other.Allotment, other.Owners
 	return t == other
 }
 
@@ -133,25 +135,19 @@
 		c.leaving[vm] = until
 	}
 	for _, owned := range c.owned {
-		if c.leavingLocked(owned.config) && !owned.leaving {
+		if c.isLeaving(owned.config) && !owned.leaving {
 			owned.leaving = true
 			owned.pollNow()
 		}
 	}
 }
 
-func (c *Connector) leavingLocked(t Target) bool {
+// isLeaving is called with the lock held.
+func (c *Connector) isLeaving(t Target) bool {
 	now := c.timers.Now()
 	return now.Before(c.leaving[t.Name]) || now.Before(c.leaving[t.Address.String()])
 }
 
-func (c *Connector) isLeaving(o *ownedTarget) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	o.leaving = c.leavingLocked(o.config)
-	return o.leaving
-}
-
 // Connections is what a relay holds at one target.
 type Connections struct {
 	Limit     int
