Write the header and body of a multiplexed frame together

Cause: yamux writes a header and a body in two calls, so each flush of a stream cost two TLS records and two system calls. TestFrameIsOneWrite counted 400 writes for 200 frames before and 200 after.

--- a/core/messenger/session.go
+++ b/core/messenger/session.go
@@ -98,7 +98,7 @@
 		conn.Close()
 		return nil, err
 	}
-	session, err := mux(conn, muxConfig())
+	session, err := mux(&joiner{Conn: conn}, muxConfig())
 	if err != nil {
 		conn.Close()
 		return nil, &Error{Op: "open-session", Kind: KindClosed, Err: err}
