--- a/failuretests/kill_test.go
+++ b/failuretests/kill_test.go
@@ -72,6 +72,31 @@
 	c.verify()
 }
 
+// Guards against a request that is answered "not run", or run again, after the
+// relay through which it was sent has died.
+func TestKilledRelayDuringExecute(t *testing.T) {
+	d := deploy(t, launcher.Options{ServiceTime: longService})
+	c := newCallers(d)
+	q := c.newRequest(checker.RequestExecute)
+	ticket, err := c.ticket(&q, c.at(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := make(chan checker.Answer, 1)
+	go func() { first <- c.useTicket(&q, ticket, c.at(0)) }()
+	d.eventually(startBound, "the request runs", func() bool { return len(d.runsOf(q.Text)) > 0 })
+	for _, n := range d.Nodes[:2] {
+		d.Process(n.Name + "-relay").Kill()
+	}
+	answer := <-first
+	if answer.Outcome != checker.OutcomeUnknown {
+		t.Errorf("a request whose relay died was answered %s %s, want unknown", answer.Outcome, answer.Code)
+	}
+	c.expectOneRun(&q, append(c.reuse(&q, ticket), answer))
+	c.keep(q, answer)
+	c.verify()
+}
+
 // Guards against a target whose process ends: queries must go to its replica,
 // and the answer must not claim a shard that nobody searched.
 func TestKilledTarget(t *testing.T) {
