Look up late which process opened a connection of a proxy

The lookup reads the kernel's table of sockets. With one lookup for each connection, a full run of the module slowed itself down: 244 s with four failures, while the same tests passed alone.

--- a/failuretests/launcher/origin.go
+++ b/failuretests/launcher/origin.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"time"
 )
 
 // originOf returns the process of this deployment that opened a connection,
@@ -33,20 +35,43 @@
 	columnInode = 9
 )
 
+// sockets is a recent copy of the kernel's table, which is slow to read on a
+// machine with many connections.
+var sockets struct {
+	sync.Mutex
+	read   time.Time
+	inodes map[string]string
+}
+
+// socketsAge is how long the copy is used, so that a port that is used again
+// is not taken for its former user.
+const socketsAge = time.Second
+
 func inodeOf(client netip.AddrPort) (string, bool) {
+	ip := client.Addr().Unmap().As4()
+	local := fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), client.Port())
+	sockets.Lock()
+	defer sockets.Unlock()
+	inode, ok := sockets.inodes[local]
+	if !ok || time.Since(sockets.read) > socketsAge {
+		readSockets()
+		inode, ok = sockets.inodes[local]
+	}
+	return inode, ok
+}
+
+func readSockets() {
+	sockets.read, sockets.inodes = time.Now(), make(map[string]string)
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return "", false
+		return
 	}
-	ip := client.Addr().Unmap().As4()
-	local := fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), client.Port())
 	for line := range strings.Lines(string(table)) {
 		columns := strings.Fields(line)
-		if len(columns) > columnInode && columns[columnLocal] == local {
-			return columns[columnInode], true
+		if len(columns) > columnInode && columns[columnInode] != "0" {
+			sockets.inodes[columns[columnLocal]] = columns[columnInode]
 		}
 	}
-	return "", false
 }
 
 func (p *Process) hasSocket(inode string) bool {
--- a/failuretests/launcher/proxy.go
+++ b/failuretests/launcher/proxy.go
@@ -33,8 +33,15 @@
 	changed *sync.Cond
 	mode    Mode
 	closed  bool
-	// conns holds the open connections, and whether they can be cut.
-	conns map[*net.TCPConn]bool
+	// conns holds the open connections with their clients.
+	conns map[*net.TCPConn]*client
+}
+
+// client is the process that opened a connection. Whether its connection can
+// be cut is looked up late, because the lookup is slow.
+type client struct {
+	address        netip.AddrPort
+	known, crosses bool
 }
 
 // NewProxy starts a proxy that listens at an address.
@@ -43,7 +50,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("launcher: proxy: %w", err)
 	}
-	p := &Proxy{target: target, listener: listener, crosses: crosses, conns: make(map[*net.TCPConn]bool)}
+	p := &Proxy{target: target, listener: listener, crosses: crosses, conns: make(map[*net.TCPConn]*client)}
 	p.changed = sync.NewCond(&p.mu)
 	go p.acceptAll()
 	return p, nil
@@ -57,8 +64,11 @@
 	if mode == p.mode {
 		return
 	}
+	for _, from := range p.conns {
+		p.classify(from)
+	}
 	if mode == Refuse || p.mode == BlackHole {
-		p.resetAll(func(crosses bool) bool { return crosses })
+		p.resetAll(func(from *client) bool { return from.crosses })
 	}
 	p.mode = mode
 	p.changed.Broadcast()
@@ -70,13 +80,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	p.resetAll(func(bool) bool { return true })
+	p.resetAll(func(*client) bool { return true })
 	p.changed.Broadcast()
 }
 
-func (p *Proxy) resetAll(which func(crosses bool) bool) {
-	for c, crosses := range p.conns {
-		if which(crosses) {
+func (p *Proxy) classify(from *client) {
+	if !from.known {
+		from.crosses, from.known = p.crosses(from.address), true
+	}
+}
+
+func (p *Proxy) resetAll(which func(*client) bool) {
+	for c, from := range p.conns {
+		if which(from) {
 			reset(c)
 			delete(p.conns, c)
 		}
@@ -99,14 +115,14 @@
 	}
 }
 
-func (p *Proxy) serve(client *net.TCPConn) {
-	crosses := p.crosses(client.RemoteAddr().(*net.TCPAddr).AddrPort())
-	if !p.add(client, crosses) {
-		reset(client)
+func (p *Proxy) serve(accepted *net.TCPConn) {
+	from := &client{address: accepted.RemoteAddr().(*net.TCPAddr).AddrPort()}
+	if !p.add(accepted, from) {
+		reset(accepted)
 		return
 	}
-	defer p.remove(client)
-	if !p.pass(client) {
+	defer p.remove(accepted)
+	if !p.pass(accepted) {
 		return
 	}
 	dialed, err := net.Dial("tcp", p.target.String())
@@ -114,14 +130,14 @@
 		return
 	}
 	server := dialed.(*net.TCPConn)
-	if !p.add(server, crosses) {
+	if !p.add(server, from) {
 		reset(server)
 		return
 	}
 	defer p.remove(server)
 	ends := make(chan struct{}, 2)
-	go p.copy(server, client, ends)
-	go p.copy(client, server, ends)
+	go p.copy(server, accepted, ends)
+	go p.copy(accepted, server, ends)
 	<-ends
 }
 
@@ -144,20 +160,23 @@
 func (p *Proxy) pass(c *net.TCPConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.mode == BlackHole && p.conns[c] && !p.closed {
+	for p.mode == BlackHole && p.conns[c] != nil && p.conns[c].crosses && !p.closed {
 		p.changed.Wait()
 	}
 	_, open := p.conns[c]
 	return open
 }
 
-func (p *Proxy) add(c *net.TCPConn, crosses bool) bool {
+func (p *Proxy) add(c *net.TCPConn, from *client) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || crosses && p.mode == Refuse {
+	if p.mode != Forward {
+		p.classify(from)
+	}
+	if p.closed || from.crosses && p.mode == Refuse {
 		return false
 	}
-	p.conns[c] = crosses
+	p.conns[c] = from
 	return true
 }
 
