Keep the answers of a stopped gateway reachable

Three causes lost finished answers at a planned stop. Frames held up to 16 answers of up to 1 MiB, above the 2 MiB that a peer reads, so the peer ended the stream. One failed successor ended the hand-over to the others. A gateway whose members still listed the stopped issuer answered unknown without asking the successor. A wrong choice of the successor was ruled out: both sides choose by the same function.

--- a/gateway/issuer/forward.go
+++ b/gateway/issuer/forward.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"jackdawcart.org/core/callerapi"
 	"jackdawcart.org/core/messenger"
@@ -14,24 +16,27 @@
 	"jackdawcart.org/core/ticketer"
 )
 
-// answersPerFrame keeps a handover frame below the limit of a frame.
-const answersPerFrame = 16
+// maxHandoverSize bounds the answers of one frame, in bytes. With the largest
+// result, 1 MiB, on top the frame is still below messenger.MaxFrameSize.
+const maxHandoverSize = 512 << 10
 
-// forward hands a request to the gateway that issued its ticket. Whatever goes
-// wrong on the way, the ticket may have run, so the outcome is unknown.
+// forward hands a request to another gateway. It returns neither an answer nor
+// an error if that gateway did not answer: the ticket may have run there.
 func (i *Issuer) forward(ctx context.Context, addr netip.AddrPort, request Request) (*peerpb.ExecuteAnswer, error) {
-	request.Execute.TimeLeft = durationOf(request.Deadline.Sub(i.config.Timers.Now()))
+	// The stream may still hold the frame when the request goes to a successor.
+	execute := proto.CloneOf(request.Execute)
+	execute.TimeLeft = durationOf(request.Deadline.Sub(i.config.Timers.Now()))
 	frame := &peerpb.Frame{Kind: &peerpb.Frame_TicketForward{TicketForward: &peerpb.TicketForward{
-		Ticket: request.Ticket, Caller: request.Caller, Execute: request.Execute,
+		Ticket: request.Ticket, Caller: request.Caller, Execute: execute,
 	}}}
 	reply, err := i.exchange(ctx, addr, request.Deadline, frame)
 	if err != nil {
 		i.config.Log.Warn("issuer of a ticket did not answer", zap.Stringer("issuer", addr), zap.Error(err))
-		return unknown(request.Execute.RequestId), nil
+		return nil, nil
 	}
 	answer := reply.GetExecuteAnswer()
 	if answer == nil {
-		return unknown(request.Execute.RequestId), nil
+		return nil, nil
 	}
 	if answer.Code != "" {
 		return nil, &Error{
@@ -51,7 +56,11 @@
 	if !ok {
 		return unknown(requestID(ticket)), nil
 	}
-	return i.forward(ctx, addr, request)
+	answer, err := i.forward(ctx, addr, request)
+	if answer == nil && err == nil {
+		return unknown(requestID(ticket)), nil
+	}
+	return answer, err
 }
 
 func (i *Issuer) exchange(ctx context.Context, addr netip.AddrPort, deadline time.Time, frame *peerpb.Frame) (*peerpb.Frame, error) {
@@ -119,20 +128,19 @@
 
 // handOver gives finished answers to the gateway that others will ask.
 func (i *Issuer) handOver(ctx context.Context, answers []ticketer.Handed) error {
-	byIssuer := make(map[string][]*peerpb.HandedAnswer)
+	bySuccessor := make(map[string][]*peerpb.HandedAnswer)
 	for _, a := range answers {
 		successor, ok := ticketer.Successor(a.Node, a.Incarnation, i.others()).Get()
 		if !ok {
 			return &Error{Op: "hand-over", Kind: callerapi.ErrorCodeUnavailable, Message: "no other gateway is live"}
 		}
-		byIssuer[successor] = append(byIssuer[successor], message(a))
+		bySuccessor[successor] = append(bySuccessor[successor], message(a))
 	}
-	for successor, handed := range byIssuer {
-		if err := i.handTo(ctx, successor, handed); err != nil {
-			return err
-		}
+	var failures error
+	for successor, handed := range bySuccessor {
+		failures = errors.Join(failures, i.handTo(ctx, successor, handed))
 	}
-	return nil
+	return failures
 }
 
 // others returns the live gateways without this one.
@@ -151,7 +159,7 @@
 	if !ok {
 		deadline = i.config.Timers.Now().Add(5 * time.Second)
 	}
-	for chunk := range slices.Chunk(handed, answersPerFrame) {
+	for _, chunk := range chunksOf(handed) {
 		frame := &peerpb.Frame{Kind: &peerpb.Frame_TicketHandover{TicketHandover: &peerpb.TicketHandover{Answers: chunk}}}
 		if _, err := i.exchange(ctx, addr, deadline, frame); err != nil {
 			return err
@@ -161,6 +169,21 @@
 	return nil
 }
 
+// chunksOf splits answers into the contents of frames.
+func chunksOf(handed []*peerpb.HandedAnswer) [][]*peerpb.HandedAnswer {
+	var chunks [][]*peerpb.HandedAnswer
+	size := maxHandoverSize
+	for _, answer := range handed {
+		if size >= maxHandoverSize {
+			chunks, size = append(chunks, nil), 0
+		}
+		last := len(chunks) - 1
+		chunks[last] = append(chunks[last], answer)
+		size += proto.Size(answer)
+	}
+	return chunks
+}
+
 func (i *Issuer) adopt(handover *peerpb.TicketHandover) *peerpb.Frame {
 	answers := make([]ticketer.Handed, 0, len(handover.Answers))
 	for _, a := range handover.Answers {
--- a/gateway/issuer/issuer.go
+++ b/gateway/issuer/issuer.go
@@ -183,10 +183,12 @@
 	case ticketer.RouteHere:
 		return i.execute(ctx, ticket, request)
 	case ticketer.RouteForward:
-		return i.forward(ctx, addr, request)
-	default:
-		return i.askSuccessor(ctx, ticket, request)
+		answer, err := i.forward(ctx, addr, request)
+		if answer != nil || err != nil {
+			return answer, err
+		}
 	}
+	return i.askSuccessor(ctx, ticket, request)
 }
 
 // execute decides on a ticket that this process has issued or adopted.
