Answer truly for dropped results and for tickets of an unknown key

A repetition whose result had been dropped for lack of room got an empty result with the outcome ran, which looks like the whole result; it now gets the error failed with the outcome ran. A ticket whose tag no key confirms was refused as not run, also by a gateway that lacks the key during a rotation while the request had run elsewhere; the outcome is now unknown, as docs/decisions/at-most-once.md requires. A malformed ticket and one of another caller are still refused as not run. A stop handed each answer over twice.

--- a/gateway/issuer/issuer.go
+++ b/gateway/issuer/issuer.go
@@ -253,7 +253,7 @@
 	id := requestID(ticket)
 	switch decision.Verdict {
 	case ticketer.VerdictKnown:
-		return &peerpb.ExecuteAnswer{RequestId: id, Outcome: decision.Answer.Outcome, Result: decision.Answer.Result}, nil
+		return known(id, decision.Answer)
 	case ticketer.VerdictRefused:
 		return nil, &Error{
 			Op: "execute", Kind: callerapi.ErrorCodeTicketExpired, Outcome: peerpb.Outcome_OUTCOME_NOT_RUN,
@@ -264,28 +264,53 @@
 	}
 }
 
+// known returns a recorded answer. A result that was not kept is an error,
+// because an empty one would look like the whole result.
+func known(id string, answer ticketer.Answer) (*peerpb.ExecuteAnswer, error) {
+	if answer.ResultDropped {
+		return nil, &Error{
+			Op: "execute", Kind: callerapi.ErrorCodeFailed, Outcome: answer.Outcome,
+			Message: "the request ran, but its result was not kept",
+		}
+	}
+	return &peerpb.ExecuteAnswer{RequestId: id, Outcome: answer.Outcome, Result: answer.Result}, nil
+}
+
 func unknown(id string) *peerpb.ExecuteAnswer {
 	return &peerpb.ExecuteAnswer{RequestId: id, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN}
 }
 
+// ticketError gives the code and the outcome of a ticket that cannot be used.
+// A tag that no key confirms may come from a key that this process does not
+// hold during a rotation, so a request may have run under that ticket.
 func ticketError(op string, err error) error {
-	var failure *ticketer.Error
-	code := callerapi.ErrorCodeTicketInvalid
-	if errors.As(err, &failure) && (failure.Kind == ticketer.KindFull || failure.Kind == ticketer.KindFenced) {
+	code, outcome := callerapi.ErrorCodeTicketInvalid, peerpb.Outcome_OUTCOME_NOT_RUN
+	switch kindOfTicket(err) {
+	case ticketer.KindFull, ticketer.KindFenced:
 		code = callerapi.ErrorCodeOverloaded
+	case ticketer.KindForged:
+		outcome = peerpb.Outcome_OUTCOME_UNKNOWN
 	}
-	return &Error{Op: op, Kind: code, Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Message: err.Error()}
+	return &Error{Op: op, Kind: code, Outcome: outcome, Message: err.Error()}
+}
+
+func kindOfTicket(err error) ticketer.Kind {
+	var failure *ticketer.Error
+	if errors.As(err, &failure) {
+		return failure.Kind
+	}
+	return ticketer.KindInvalid
 }
 
 // Stop withdraws the free tickets, waits for the running ones and hands the
 // finished answers to a live gateway.
 func (i *Issuer) Stop(ctx context.Context) {
 	i.mu.Lock()
-	answers := i.table.Fence(i.config.Timers.Now())
+	i.table.Fence(i.config.Timers.Now())
 	i.mu.Unlock()
 	i.running.Wait()
 	i.mu.Lock()
-	answers = append(answers, i.table.Fence(i.config.Timers.Now())...)
+	answers := i.table.Fence(i.config.Timers.Now())
 	i.mu.Unlock()
 	if err := i.handOver(ctx, answers); err != nil {
 		i.config.Log.Warn("answers were not handed over", zap.Int("answers", len(answers)), zap.Error(err))
--- a/gateway/issuer/key.go
+++ b/gateway/issuer/key.go
@@ -85,9 +85,9 @@
 				return unknown(key), nil
 			}
 		case claimer.VerdictKnown:
-			return &peerpb.ExecuteAnswer{
-				RequestId: decision.Key, Outcome: peerpb.Outcome_OUTCOME_RAN, Result: decision.Result,
-			}, nil
+			return known(decision.Key, ticketer.Answer{
+				Outcome: peerpb.Outcome_OUTCOME_RAN, Result: decision.Result, ResultDropped: decision.ResultDropped,
+			})
 		case claimer.VerdictRefused:
 			return nil, keyRefused(decision)
 		case claimer.VerdictHeld:
