Answer unknown when a gateway refuses a ticket that it did not look at

A request with a ticket was refused as not run by a gateway that stopped, had no configuration, did not know the service, or had the request in quarantine. None of these looks at the ticket, which may have run at its issuer: a caller whose answer was lost repeats it, reads not-run and takes a new ticket. The outcome is now unknown, as docs/decisions/at-most-once.md requires; the codes are the same. Requests with a key are still refused as not run, which speaks of the attempt.

--- a/gateway/responder/execute.go
+++ b/gateway/responder/execute.go
@@ -26,8 +26,8 @@
 
 // IssueTicket issues a ticket for one non-idempotent request.
 func (r *Responder) IssueTicket(_ context.Context, params callerapi.IssueTicketParams) (*callerapi.Ticket, error) {
-	if err := r.open("issue-ticket"); err != nil {
-		return nil, err
+	if refusal := r.closed("issue-ticket"); refusal != nil {
+		return nil, refusal
 	}
 	ticket, err := r.config.Issuer.Issue(params.JackdawcartCaller)
 	if err != nil {
@@ -67,21 +67,17 @@
 
 // prepare refuses a request that cannot run, before any target work.
 func (r *Responder) prepare(ctx context.Context, request *callerapi.ExecuteRequest, caller string) (issuer.Request, error) {
-	if err := r.open("execute"); err != nil {
-		return issuer.Request{}, err
+	if request.Ticket.IsSet() == request.IdempotencyKey.IsSet() {
+		return issuer.Request{}, notRun("execute", callerapi.ErrorCodeMalformed, "name either a ticket or an idempotency key")
 	}
-	_, known := r.config.Table.Service(request.Service)
 	fingerprint := quarantiner.Fingerprint(request.Service, request.Operation, request.Payload)
 	deadline := request.Deadline.Or(defaultExecuteDeadline)
-	switch {
-	case request.Ticket.IsSet() == request.IdempotencyKey.IsSet():
-		return issuer.Request{}, notRun("execute", callerapi.ErrorCodeMalformed, "name either a ticket or an idempotency key")
-	case !known:
-		return issuer.Request{}, notRun("execute", callerapi.ErrorCodeUnknownService, fmt.Sprintf("no service is named %q", request.Service))
-	case deadline < minDeadline:
-		return issuer.Request{}, notRun("execute", callerapi.ErrorCodeDeadlineTooLate, fmt.Sprintf("a deadline of %s leaves no time", deadline))
-	case r.config.Control.Quarantined(fingerprint):
-		return issuer.Request{}, notRun("execute", callerapi.ErrorCodeQuarantined, "this request has taken targets down and is refused for a time")
+	if refusal := r.refuseExecute(request.Service, deadline, fingerprint); refusal != nil {
+		// Only its issuer knows whether a ticket has been used.
+		if request.Ticket.IsSet() {
+			refusal.Outcome = callerapi.OutcomeUnknown
+		}
+		return issuer.Request{}, refusal
 	}
 	return issuer.Request{
 		Ticket:   request.Ticket.Or(""),
@@ -94,8 +90,25 @@
 	}, nil
 }
 
-// open refuses requests before there is a configuration and after the stop.
-func (r *Responder) open(op string) error {
+// refuseExecute returns why a request is refused, or nil.
+func (r *Responder) refuseExecute(service string, deadline time.Duration, fingerprint uint64) *Error {
+	if refusal := r.closed("execute"); refusal != nil {
+		return refusal
+	}
+	_, known := r.config.Table.Service(service)
+	switch {
+	case !known:
+		return notRun("execute", callerapi.ErrorCodeUnknownService, fmt.Sprintf("no service is named %q", service))
+	case deadline < minDeadline:
+		return notRun("execute", callerapi.ErrorCodeDeadlineTooLate, fmt.Sprintf("a deadline of %s leaves no time", deadline))
+	case r.config.Control.Quarantined(fingerprint):
+		return notRun("execute", callerapi.ErrorCodeQuarantined, "this request has taken targets down and is refused for a time")
+	}
+	return nil
+}
+
+// closed refuses requests before there is a configuration and after the stop.
+func (r *Responder) closed(op string) *Error {
 	if r.Stopping() {
 		return notRun(op, callerapi.ErrorCodeShuttingDown, "this gateway is stopping; try another")
 	}
--- a/gateway/responder/query.go
+++ b/gateway/responder/query.go
@@ -56,11 +56,8 @@
 
 // check refuses a request that cannot be answered, before any target work.
 func (r *Responder) check(request *callerapi.QueryRequest, caller string, now time.Time) (*scatterer.Request, error) {
-	if r.Stopping() {
-		return nil, notRun("query", callerapi.ErrorCodeShuttingDown, "this gateway is stopping; try another")
-	}
-	if !r.config.Control.Ready() {
-		return nil, notRun("query", callerapi.ErrorCodeNotReady, "no configuration is in force yet")
+	if refusal := r.closed("query"); refusal != nil {
+		return nil, refusal
 	}
 	services, err := r.services(request.Services)
 	if err != nil {
--- /dev/null
+++ b/gateway/responder/responder_test.go
@@ -0,0 +1,308 @@
+package responder_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/callerapi"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/parser"
+	"jackdawcart.org/core/planner"
+	"jackdawcart.org/core/quarantiner"
+	"jackdawcart.org/core/scatterer"
+	"jackdawcart.org/core/ticketer"
+	"jackdawcart.org/core/timer"
+	"jackdawcart.org/core/tracer"
+	"jackdawcart.org/gateway/executor"
+	"jackdawcart.org/gateway/issuer"
+	"jackdawcart.org/gateway/mirrorer"
+	"jackdawcart.org/gateway/responder"
+)
+
+const poison = "poison"
+
+// control is the state that a gateway has from its relays.
+type control struct{ ready bool }
+
+func (c *control) Ready() bool { return c.ready }
+
+func (c *control) Quarantined(fingerprint uint64) bool {
+	return fingerprint == quarantiner.Fingerprint("library", "search", poison) ||
+		fingerprint == quarantiner.Fingerprint("library", "issue", poison)
+}
+
+// Gateway and Gateways make control a directory without other gateways.
+func (c *control) Gateway(string) (uint64, netip.AddrPort, bool) { return 0, netip.AddrPort{}, false }
+
+func (c *control) Gateways() []string { return nil }
+
+type key struct{}
+
+func (key) SharedKeys() [][]byte { return [][]byte{[]byte("key")} }
+
+// work counts what reaches targets, and answers the sub-requests as told.
+type work struct {
+	count  atomic.Int64
+	cut    bool
+	answer func(batch *peerpb.Batch)
+	result executor.Result
+}
+
+func (w *work) Send(_ string, batch *peerpb.Batch) error {
+	if w.cut {
+		return errors.New("relay cannot be reached")
+	}
+	w.count.Add(1)
+	if w.answer != nil {
+		go w.answer(batch)
+	}
+	return nil
+}
+
+func (w *work) Cancel(string, *peerpb.Cancel) {}
+
+func (w *work) Run(context.Context, string, time.Time, *peerpb.Execute) executor.Result {
+	w.count.Add(1)
+	return w.result
+}
+
+type fixture struct {
+	*responder.Responder
+	control *control
+	work    *work
+	issuer  *issuer.Issuer
+	engine  *scatterer.Engine
+}
+
+// newFixture serves library, with shards a and b, within 100ms, and archive,
+// with the same, within 60ms and only in full.
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	timers, table, log := timer.NewService(), planner.NewTable(), zap.NewNop()
+	f := &fixture{control: &control{ready: true}, work: &work{}}
+	put(table, "library", 100*time.Millisecond, 0)
+	put(table, "archive", 60*time.Millisecond, 1)
+	f.engine = scatterer.New(scatterer.DefaultConfig("east"), timers, table, f.work)
+	var err error
+	f.issuer, err = issuer.New(issuer.Config{
+		Table: ticketer.Config{
+			Node: "gw-1", Incarnation: 1, Lifetime: time.Minute, Retention: time.Minute, MaxTickets: 10, MaxResultBytes: 1 << 20,
+		},
+		Keys: key{}, Timers: timers, Runner: f.work, Directory: f.control, Log: log,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Responder = responder.New(responder.Config{
+		Timers: timers, Table: table, Engine: f.engine, Control: f.control, Issuer: f.issuer,
+		Mirror: mirrorer.New(f.engine, timers, tally.NoopScope, log), Tracer: tracer.Disabled(),
+		Metrics: tally.NoopScope, Log: log, MaxQueries: 10, TicketExpiry: time.Minute,
+	})
+	return f
+}
+
+func put(table *planner.Table, service string, deadline time.Duration, least float64) {
+	now := time.Now()
+	address := netip.MustParseAddrPort("127.0.0.1:9000")
+	table.Put(&parser.Document{
+		Service: service,
+		Sets: []parser.Set{{Name: "old", Targets: []parser.Target{
+			{Name: "t1", Address: address, FailureDomain: "east", Slots: 2, Connections: 24},
+		}}},
+		Answering: parser.Answering{Lead: "old", Deadline: parser.Duration(deadline), MinimumCoverage: least},
+	}, 1, now)
+	table.Apply([]*peerpb.TargetState{{
+		Service: service, Set: "old", Target: "t1", Address: address.String(), Relay: "east-1",
+		Phase: peerpb.TargetPhase_TARGET_PHASE_SERVING, Incarnation: 1, Sequence: 1,
+		Snapshots: []*peerpb.Snapshot{{
+			Id: "n", Sequence: 1, Held: []string{"a", "b"},
+			Shards: []*peerpb.Shard{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}},
+		}},
+	}}, now)
+}
+
+// refusal is what a caller learns.
+type refusal struct {
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+	Status  int    `json:"-"`
+}
+
+func (f *fixture) post(t *testing.T, path, body string) refusal {
+	t.Helper()
+	api, err := callerapi.NewServer(f, callerapi.WithErrorHandler(f.WriteError))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Jackdawcart-Caller", "inspector")
+	w := httptest.NewRecorder()
+	http.MaxBytesHandler(api, 100<<10).ServeHTTP(w, r)
+	got := refusal{Status: w.Code}
+	text, _ := io.ReadAll(w.Body)
+	if err := json.NewDecoder(bytes.NewReader(text)).Decode(&got); err != nil {
+		t.Fatalf("answer %q: %v", text, err)
+	}
+	return got
+}
+
+// A refused request must cost no target work, and its code and outcome are what
+// callers act on: a false "not-run" makes them run a request twice. Only the
+// issuer may say "not-run" about a ticket, see docs/decisions/at-most-once.md.
+func TestRefusalsCostNoTargetWork(t *testing.T) {
+	stopping := func(f *fixture) { f.Stop() }
+	starting := func(f *fixture) { f.control.ready = false }
+	const (
+		query  = "/v1/query"
+		run    = "/v1/execute"
+		search = `{"services":["library"],"text":"x"}`
+		keyed  = `{"idempotency-key":"k","service":"library","operation":"issue","payload":"x"}`
+		ticket = `{"ticket":"T","service":"library","operation":"issue","payload":"x"}`
+	)
+	tests := []struct {
+		name, path, body string
+		change           func(*fixture)
+		want             refusal
+	}{
+		{"no JSON", query, `{`, nil, refusal{"malformed", "not-run", 400}},
+		{"no service", query, `{"services":[],"text":"x"}`, nil, refusal{"malformed", "not-run", 400}},
+		{"service twice", query, `{"services":["library","library"],"text":"x"}`, nil, refusal{"malformed", "not-run", 400}},
+		{"too large", query, `{"text":"` + strings.Repeat("x", 200<<10) + `"}`, nil, refusal{"too-large", "not-run", 413}},
+		{"unknown service", query, `{"services":["nope"],"text":"x"}`, nil, refusal{"unknown-service", "not-run", 404}},
+		{"no time", query, `{"services":["library"],"text":"x","deadline":"1ms"}`, nil, refusal{"deadline-too-late", "not-run", 400}},
+		{"negative time", query, `{"services":["library"],"text":"x","deadline":"-1s"}`, nil, refusal{"deadline-too-late", "not-run", 400}},
+		{"quarantined", query, `{"services":["library"],"text":"poison"}`, nil, refusal{"quarantined", "not-run", 422}},
+		{"stopping", query, search, stopping, refusal{"shutting-down", "not-run", 503}},
+		{"starting", query, search, starting, refusal{"not-ready", "not-run", 503}},
+		{"no relay", query, search, func(f *fixture) { f.work.cut = true }, refusal{"unavailable", "not-run", 503}},
+		{"stopping", "/v1/tickets", ``, stopping, refusal{"shutting-down", "not-run", 503}},
+		{"ticket and key", run, strings.Replace(keyed, "{", `{"ticket":"T",`, 1), nil, refusal{"malformed", "not-run", 400}},
+		{"neither", run, `{"service":"library","operation":"issue","payload":"x"}`, nil, refusal{"malformed", "not-run", 400}},
+		{"forged ticket", run, ticket, nil, refusal{"ticket-invalid", "not-run", 403}},
+		{"key, stopping", run, keyed, stopping, refusal{"shutting-down", "not-run", 503}},
+		{"key, quarantined", run, strings.Replace(keyed, `"x"`, `"poison"`, 1), nil, refusal{"quarantined", "not-run", 422}},
+		{"ticket, stopping", run, ticket, stopping, refusal{"shutting-down", "unknown", 503}},
+		{"ticket, starting", run, ticket, starting, refusal{"not-ready", "unknown", 503}},
+		{"ticket, unknown service", run, strings.Replace(ticket, "library", "nope", 1), nil, refusal{"unknown-service", "unknown", 404}},
+		{"ticket, quarantined", run, strings.Replace(ticket, `"x"`, `"poison"`, 1), nil, refusal{"quarantined", "unknown", 422}},
+		{"ticket, no time", run, strings.Replace(ticket, "{", `{"deadline":"1ms",`, 1), nil, refusal{"deadline-too-late", "unknown", 400}},
+	}
+	for _, test := range tests {
+		t.Run(test.path+" "+test.name, func(t *testing.T) {
+			f := newFixture(t)
+			if test.change != nil {
+				test.change(f)
+			}
+			if diff := cmp.Diff(test.want, f.post(t, test.path, test.body)); diff != "" {
+				t.Errorf("refusal (-want +got):\n%s", diff)
+			}
+			if work := f.work.count.Load(); work != 0 {
+				t.Errorf("%d requests reached a target", work)
+			}
+		})
+	}
+}
+
+// The end of a run must reach the caller as it is: a refusal by a target is
+// "not-run", and a run whose end is not known is "unknown".
+func TestExecuteOutcomes(t *testing.T) {
+	tests := []struct {
+		result executor.Result
+		want   refusal
+	}{
+		{executor.Result{Outcome: peerpb.Outcome_OUTCOME_RAN}, refusal{Status: 200}},
+		{
+			executor.Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: peerpb.FailureKind_FAILURE_DRAINING},
+			refusal{"unavailable", "not-run", 503},
+		},
+		{
+			executor.Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: peerpb.FailureKind_FAILURE_OVERLOADED},
+			refusal{"overloaded", "not-run", 429},
+		},
+		{
+			executor.Result{Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Failure: peerpb.FailureKind_FAILURE_LOST},
+			refusal{"outcome-unknown", "unknown", 502},
+		},
+	}
+	for _, test := range tests {
+		f := newFixture(t)
+		f.work.result = test.result
+		ticket, err := f.issuer.Issue("inspector")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := f.post(t, "/v1/execute", `{"ticket":"`+ticket+`","service":"library","operation":"issue","payload":"x"}`)
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%v (-want +got):\n%s", test.result.Failure, diff)
+		}
+	}
+}
+
+// A query must end at the least of the deadlines, whoever named it, or a caller
+// waits past the time after which the answer is useless to it.
+func TestDeadlineIsTheLeast(t *testing.T) {
+	tests := []struct {
+		services []string
+		asked    time.Duration
+		want     time.Duration
+	}{
+		{[]string{"library"}, 0, 100 * time.Millisecond},
+		{[]string{"library", "archive"}, 0, 60 * time.Millisecond},
+		{[]string{"library"}, 30 * time.Millisecond, 30 * time.Millisecond},
+		{[]string{"library"}, time.Minute, 100 * time.Millisecond},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			request := &callerapi.QueryRequest{Services: test.services, Text: "x"}
+			if test.asked > 0 {
+				request.Deadline = callerapi.NewOptDuration(test.asked)
+			}
+			started := time.Now()
+			_, _ = f.Query(t.Context(), request, callerapi.QueryParams{JackdawcartCaller: "inspector"})
+			took := time.Since(started)
+			if took > test.want || took < test.want-10*time.Millisecond {
+				t.Errorf("%v within %v: answered after %v, want %v", test.services, test.asked, took, test.want)
+			}
+		})
+	}
+}
+
+// A refusal for lack of coverage must say whether a target has run a part.
+func TestCoverageTooLow(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		f := newFixture(t)
+		if answers {
+			f.work.answer = func(batch *peerpb.Batch) {
+				for _, sub := range batch.Subs {
+					if sub.Shard == "a" {
+						f.engine.Deliver(&peerpb.SubAnswer{
+							QueryId: batch.QueryId, Sub: sub.Sub, Attempt: sub.Attempt, Shard: "a", Snapshot: "n",
+							Outcome: peerpb.Outcome_OUTCOME_RAN,
+						})
+					}
+				}
+			}
+		}
+		want := refusal{"coverage-too-low", map[bool]string{true: "ran", false: "unknown"}[answers], 503}
+		if diff := cmp.Diff(want, f.post(t, "/v1/query", `{"services":["archive"],"text":"x"}`)); diff != "" {
+			t.Errorf("a target answers %t (-want +got):\n%s", answers, diff)
+		}
+	}
+}
