Keep a target when the number of its owners changes

A relay released a target and took it again when the number of its owners changed, which happens whenever the members change and both portions of the target come to one relay or part again. Queued requests were refused as not owned, the target was withdrawn from the gateways, and the new connections were opened beside those of the requests that still ran. Only the least limit at the start depends on that number, so the target now stays.

Before: TestAllotmentChangeKeepsRunningRequests with changing owners: 2 of 6 requests refused, the target withdrawn at each change; after: all 6 run, one report.

--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -53,9 +53,11 @@
 	Owners int
 }
 
-// sameTarget reports whether only the allotment differs.
+// sameTarget reports whether only the shares of the relays differ. The number
+// of owners gives the least limit at the start; a change of it, as often as the
+// members change, is not worth the loss of connections and queued requests.
 func (t Target) sameTarget(other Target) bool {
-	t.Allotment = other.Allotment
+	t.Allotment, t.Owners = other.Allotment, other.Owners
 	return t == other
 }
 
--- a/relay/connector/connector_test.go
+++ b/relay/connector/connector_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// A change of the allotment must neither cut off running requests nor race
-// with the watch of the target.
+// A change of the allotment or of the number of owners, as each change of the
+// members brings, must neither end requests nor release the target.
 func TestAllotmentChangeKeepsRunningRequests(t *testing.T) {
 	release := make(chan struct{})
 	addr := target(t, release)
@@ -126,7 +126,7 @@
 	c, d := newConnector(r)
 	c.Own(owned(addr, 6))
 	r.await(t, "SERVING")
-	const jobs = 3
+	const jobs = 6 // The limit lets four run; the others are queued.
 	results := make(chan dispatcher.Result, jobs)
 	for i := range jobs {
 		d.Submit(&dispatcher.Job{
@@ -135,7 +135,9 @@
 		})
 	}
 	for allotment := range 30 {
-		c.Own(owned(addr, 2+allotment%5))
+		targets := owned(addr, 2+allotment%5)
+		targets[0].Owners = 1 + allotment%2
+		c.Own(targets)
 		time.Sleep(30 * time.Millisecond)
 	}
 	close(release)
