Send no work through a relay that has lost the target

A target that one of its two owners could not reach stayed served through both, so that half of its sub-requests came back as unreachable and used the budget for retries. The merge of the phases was right.

--- a/core/planner/table.go
+++ b/core/planner/table.go
@@ -3,6 +3,7 @@
 package planner
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -262,18 +263,16 @@
 		Service: service, Set: set, Target: target.Name, Address: target.Address,
 		FailureDomain: target.FailureDomain, Slots: target.Slots,
 	}
-	var newest uint64
-	for relay, report := range t.reports[key] {
-		if report.Phase == peerpb.TargetPhase_TARGET_PHASE_UNKNOWN {
-			continue
-		}
-		r.Owners = append(r.Owners, relay)
-		r.Phase = mergePhase(r.Phase, report.Phase)
-		if sequence := newestSequence(report.Snapshots); r.snapshots == nil || sequence >= newest {
-			r.snapshots, newest = report.Snapshots, sequence
+	var best *peerpb.TargetState
+	for _, report := range t.reports[key] {
+		if better(report, best) {
+			best = report
 		}
 	}
-	slices.Sort(r.Owners)
+	if best != nil {
+		r.Phase, r.snapshots = best.Phase, best.Snapshots
+		r.Owners = owners(t.reports[key], best.Phase)
+	}
 	last := t.phases[key]
 	if last.phase != r.Phase {
 		last = phaseSince{r.Phase, now}
@@ -283,27 +282,53 @@
 	return r
 }
 
-// mergePhase lets a sign of leaving win over every other report, and any
-// report of a serving target over one of a lost connection.
-func mergePhase(a, b Phase) Phase {
-	rank := func(p Phase) int {
-		switch p {
-		case peerpb.TargetPhase_TARGET_PHASE_DRAINING:
-			return 4
-		case peerpb.TargetPhase_TARGET_PHASE_SERVING:
-			return 3
-		case peerpb.TargetPhase_TARGET_PHASE_STARTING:
-			return 2
-		case peerpb.TargetPhase_TARGET_PHASE_LOST:
-			return 1
-		default:
-			return 0
-		}
+// better reports whether a tells more than b about a target that both relays
+// own. Of two reports of the same phase the one with the newer snapshot counts;
+// the name of the relay decides last, so that the choice is the same each time.
+func better(a, b *peerpb.TargetState) bool {
+	if rank(a.Phase) == 0 {
+		return false
+	}
+	if b == nil {
+		return true
 	}
-	if rank(b) > rank(a) {
-		return b
+	return cmp.Or(
+		cmp.Compare(rank(a.Phase), rank(b.Phase)),
+		cmp.Compare(newestSequence(a.Snapshots), newestSequence(b.Snapshots)),
+		cmp.Compare(b.Relay, a.Relay),
+	) > 0
+}
+
+// rank lets a sign of leaving win over every other report, and any report of a
+// serving target over one of a lost connection. A relay that reports no phase
+// does not own the target.
+func rank(p Phase) int {
+	switch p {
+	case peerpb.TargetPhase_TARGET_PHASE_DRAINING:
+		return 4
+	case peerpb.TargetPhase_TARGET_PHASE_SERVING:
+		return 3
+	case peerpb.TargetPhase_TARGET_PHASE_STARTING:
+		return 2
+	case peerpb.TargetPhase_TARGET_PHASE_LOST:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// owners lists the relays through which a target of the given phase is reached.
+// A relay that has lost the target is left out unless all of them have.
+func owners(reports map[string]*peerpb.TargetState, phase Phase) []string {
+	var relays []string
+	for relay, report := range reports {
+		isLost := report.Phase == peerpb.TargetPhase_TARGET_PHASE_LOST
+		if rank(report.Phase) > 0 && (!isLost || phase == peerpb.TargetPhase_TARGET_PHASE_LOST) {
+			relays = append(relays, relay)
+		}
 	}
-	return a
+	slices.Sort(relays)
+	return relays
 }
 
 func newestSequence(snapshots []*peerpb.Snapshot) uint64 {
