Accept no target after the close of a dispatcher

A Put after or during Close started a target that nobody stopped, and changed the wait group while Close waited for it.

--- a/core/dispatcher/dispatcher.go
+++ b/core/dispatcher/dispatcher.go
@@ -72,6 +72,7 @@
 
 	mu      sync.Mutex
 	targets map[string]*target
+	closed  bool
 	running sync.WaitGroup
 }
 
@@ -80,10 +81,15 @@
 	return &Dispatcher{timers: timers, observer: observer, targets: make(map[string]*target)}
 }
 
-// Put adds a target, or replaces it; the old one ends its running jobs.
+// Put adds a target, or replaces it; the old one ends its running jobs. After
+// Close it only closes the client.
 func (d *Dispatcher) Put(config TargetConfig) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.closed {
+		config.Client.Close()
+		return
+	}
 	if old, ok := d.targets[config.Name]; ok {
 		old.stop()
 	}
@@ -149,6 +155,7 @@
 // Close refuses queued jobs and waits until running ones have ended.
 func (d *Dispatcher) Close() {
 	d.mu.Lock()
+	d.closed = true
 	for name, t := range d.targets {
 		t.stop()
 		delete(d.targets, name)
