Drop late reports of relays that have died or left

A gateway forgot the reports of a dead relay, but took them again from another relay that had not heard of the death yet. The dead relay then stayed an owner, and its phase outweighed that of a lost target, until the members changed again. The order of the records of members was right.

Before: TestReportsOfDeadRelaysAreDropped fails; after: it passes. Tests of the order of member records, tombstones, quarantine entries and the choice of relays come with it.

--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -135,7 +135,7 @@
 	case *peerpb.Frame_ConfigUpdate:
 		s.applyConfig(kind.ConfigUpdate)
 	case *peerpb.Frame_TargetUpdate:
-		s.table.Apply(kind.TargetUpdate.Targets, s.timers.Now())
+		s.table.Apply(s.fromLive(kind.TargetUpdate.Targets), s.timers.Now())
 	case *peerpb.Frame_MembersUpdate:
 		s.applyMembers(kind.MembersUpdate)
 	case *peerpb.Frame_QuarantineUpdate:
@@ -143,6 +143,18 @@
 	}
 }
 
+// fromLive leaves out the reports of relays that have died or left: another
+// relay may send them again before it has heard. A later process of the relay
+// has a higher incarnation than any record of the former one.
+func (s *Subscriber) fromLive(states []*peerpb.TargetState) []*peerpb.TargetState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(states, func(state *peerpb.TargetState) bool {
+		m, ok := s.members[state.Relay]
+		return ok && !live(m) && state.Incarnation <= m.Incarnation
+	})
+}
+
 func (s *Subscriber) applyConfig(update *peerpb.ConfigUpdate) {
 	now := s.timers.Now()
 	for _, d := range update.Documents {
--- /dev/null
+++ b/gateway/subscriber/subscriber_test.go
@@ -0,0 +1,280 @@
+package subscriber_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"jackdawcart.org/core/acceptor"
+	"jackdawcart.org/core/loader"
+	"jackdawcart.org/core/messenger"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/planner"
+	"jackdawcart.org/core/timer"
+	"jackdawcart.org/gateway/subscriber"
+)
+
+const (
+	alive   = peerpb.MemberState_MEMBER_STATE_ALIVE
+	suspect = peerpb.MemberState_MEMBER_STATE_SUSPECT
+	dead    = peerpb.MemberState_MEMBER_STATE_DEAD
+	left    = peerpb.MemberState_MEMBER_STATE_LEFT
+)
+
+const library = `{"service":"library","team":"sheets","sets":[{"name":"old","targets":[
+	{"name":"t1","address":"127.0.0.1:9001","failure-domain":"east","slots":2,"connections":24,"connect-time":"1ms"}]}],
+	"answering":{"lead":"old","deadline":"100ms","minimum-coverage":0,"priority":"normal","hedge-budget":0.05}}`
+
+type key struct{}
+
+func (key) SharedKeys() [][]byte { return [][]byte{[]byte("key")} }
+
+// relay accepts a subscription and sends the frames that a test gives it.
+type relay struct {
+	addr   netip.AddrPort
+	stream chan *messenger.Stream
+}
+
+func startRelay(t *testing.T, node string) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{netip.MustParseAddrPort(listener.Addr().String()), make(chan *messenger.Stream, 1)}
+	hello := &peerpb.Hello{Node: node, FailureDomain: "east", Role: peerpb.Role_ROLE_RELAY}
+	serve := func(ctx context.Context, _ *peerpb.Hello, stream *messenger.Stream) {
+		r.stream <- stream
+		<-ctx.Done()
+	}
+	go acceptor.New(key{}, hello, serve, zap.NewNop()).Run(t.Context(), listener)
+	return r
+}
+
+// fixture is a subscriber that follows one relay, r1.
+type fixture struct {
+	*subscriber.Subscriber
+	t      *testing.T
+	table  *planner.Table
+	stream *messenger.Stream
+	marks  uint64
+}
+
+func follow(t *testing.T) *fixture {
+	t.Helper()
+	r := startRelay(t, "r1")
+	settings := &loader.Settings{Node: "vm1", FailureDomain: "east", Relays: []netip.AddrPort{r.addr}}
+	peers := messenger.NewPeers(key{}, &peerpb.Hello{Node: "vm1", Role: peerpb.Role_ROLE_GATEWAY})
+	t.Cleanup(peers.Close)
+	f := &fixture{t: t, table: planner.NewTable()}
+	f.Subscriber = subscriber.New(settings, peers, f.table, timer.NewService(), zap.NewNop())
+	go f.Run(t.Context())
+	f.stream = <-r.stream
+	return f
+}
+
+// send sends a frame and waits until the subscriber has applied it.
+func (f *fixture) send(frame *peerpb.Frame) {
+	f.t.Helper()
+	f.marks++
+	mark := &peerpb.Frame{Kind: &peerpb.Frame_ConfigUpdate{ConfigUpdate: &peerpb.ConfigUpdate{StoreRevision: f.marks}}}
+	if err := errors.Join(f.stream.Send(frame), f.stream.Send(mark)); err != nil {
+		f.t.Fatal(err)
+	}
+	limit := time.Now().Add(3 * time.Second)
+	for time.Now().Before(limit) {
+		if revision, _ := f.Configuration(); revision >= f.marks {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.t.Fatal("the subscriber did not apply a frame within 3s")
+}
+
+func (f *fixture) members(members ...*peerpb.Member) {
+	f.send(&peerpb.Frame{Kind: &peerpb.Frame_MembersUpdate{MembersUpdate: &peerpb.MembersUpdate{Members: members}}})
+}
+
+func (f *fixture) document(revision uint64, deleted bool) {
+	d := &peerpb.Document{Service: "library", Revision: revision, Deleted: deleted}
+	if !deleted {
+		d.Body = []byte(library)
+	}
+	f.send(&peerpb.Frame{Kind: &peerpb.Frame_ConfigUpdate{ConfigUpdate: &peerpb.ConfigUpdate{Documents: []*peerpb.Document{d}}}})
+}
+
+func (f *fixture) report(relay string, incarnation, sequence uint64) {
+	f.send(&peerpb.Frame{Kind: &peerpb.Frame_TargetUpdate{TargetUpdate: &peerpb.TargetUpdate{Targets: []*peerpb.TargetState{{
+		Service: "library", Set: "old", Target: "t1", Relay: relay, Incarnation: incarnation, Sequence: sequence,
+		Phase: peerpb.TargetPhase_TARGET_PHASE_SERVING,
+	}}}}})
+}
+
+func (f *fixture) owners() []string {
+	var owners []string
+	for _, r := range f.table.Replicas("library", "old") {
+		owners = append(owners, r.Owners...)
+	}
+	return owners
+}
+
+func member(node string, incarnation uint64, state peerpb.MemberState) *peerpb.Member {
+	return &peerpb.Member{
+		Node: node, FailureDomain: "east", RelayAddress: "127.0.0.1:1", Incarnation: incarnation, State: state,
+		GatewayAddress: "127.0.0.1:2", GatewayIncarnation: incarnation,
+	}
+}
+
+// Relays tell of a member in different order: a gateway that goes back to an
+// older record sends work to a dead node, or keeps away from a live one.
+func TestMemberRecordsOverride(t *testing.T) {
+	f := follow(t)
+	tests := []struct {
+		incarnation uint64
+		state       peerpb.MemberState
+		want        string
+	}{
+		{5, alive, "5 ALIVE"},
+		{5, suspect, "5 SUSPECT"},
+		{5, alive, "5 SUSPECT"},
+		{6, alive, "6 ALIVE"},
+		{5, dead, "6 ALIVE"},
+		{6, dead, "6 DEAD"},
+		{6, suspect, "6 DEAD"},
+		{6, left, "6 LEFT"},
+		{6, dead, "6 LEFT"},
+		{7, alive, "7 ALIVE"},
+	}
+	for _, test := range tests {
+		f.members(member("r9", test.incarnation, test.state))
+		for _, m := range f.Members() {
+			got := fmt.Sprint(m.Incarnation, " ", strings.TrimPrefix(m.State.String(), "MEMBER_STATE_"))
+			if m.Node == "r9" && got != test.want {
+				t.Errorf("after %d %v the record is %s, want %s", test.incarnation, test.state, got, test.want)
+			}
+		}
+		if issuers := len(f.Gateways()) == 1; issuers != strings.HasSuffix(test.want, "ALIVE") {
+			t.Errorf("%s: its gateway is listed as live: %t", test.want, issuers)
+		}
+	}
+}
+
+// A relay that dies or leaves must not stay an owner, also when another relay,
+// which has not heard of it yet, sends its last reports again.
+func TestReportsOfDeadRelaysAreDropped(t *testing.T) {
+	for _, gone := range []peerpb.MemberState{dead, left} {
+		f := follow(t)
+		f.document(1, false)
+		f.members(member("r8", 5, alive), member("r9", 5, alive))
+		f.report("r8", 5, 1)
+		f.report("r9", 5, 1)
+		steps := []struct {
+			name string
+			do   func()
+			want []string
+		}{
+			{"both live", func() {}, []string{"r8", "r9"}},
+			{"r9 is gone", func() { f.members(member("r9", 5, gone)) }, []string{"r8"}},
+			{"late report of r9", func() { f.report("r9", 5, 2) }, []string{"r8"}},
+			{"r9 is back", func() { f.members(member("r9", 6, alive)) }, []string{"r8"}},
+			{"new report of r9", func() { f.report("r9", 6, 1) }, []string{"r8", "r9"}},
+		}
+		for _, step := range steps {
+			step.do()
+			if diff := cmp.Diff(step.want, f.owners()); diff != "" {
+				t.Errorf("%v, %s: owners (-want +got):\n%s", gone, step.name, diff)
+			}
+		}
+	}
+}
+
+// A tombstone must outlive a relay that still sends the deleted document.
+func TestTombstoneIsNotReverted(t *testing.T) {
+	f := follow(t)
+	for _, step := range []struct {
+		revision      uint64
+		deleted, want bool
+	}{{3, false, true}, {5, true, false}, {4, false, false}, {6, false, true}, {5, true, true}} {
+		f.document(step.revision, step.deleted)
+		if _, got := f.table.Service("library"); got != step.want {
+			t.Errorf("after revision %d the service is in force: %t", step.revision, got)
+		}
+	}
+}
+
+// A quarantine must end by itself, and at once when the request is cleared.
+func TestQuarantineEntriesExpire(t *testing.T) {
+	f := follow(t)
+	entries := func(remaining map[uint64]time.Duration) {
+		update := &peerpb.QuarantineUpdate{}
+		for fingerprint, d := range remaining {
+			update.Entries = append(update.Entries, &peerpb.QuarantineEntry{Fingerprint: fingerprint, Remaining: durationpb.New(d)})
+		}
+		f.send(&peerpb.Frame{Kind: &peerpb.Frame_QuarantineUpdate{QuarantineUpdate: update}})
+	}
+	refused := func() []bool { return []bool{f.Quarantined(1), f.Quarantined(2), f.Quarantined(3)} }
+	entries(map[uint64]time.Duration{1: 300 * time.Millisecond, 2: time.Minute})
+	if diff := cmp.Diff([]bool{true, true, false}, refused()); diff != "" {
+		t.Errorf("in force (-want +got):\n%s", diff)
+	}
+	time.Sleep(310 * time.Millisecond)
+	if diff := cmp.Diff([]bool{false, true, false}, refused()); diff != "" {
+		t.Errorf("after the first has expired (-want +got):\n%s", diff)
+	}
+	entries(map[uint64]time.Duration{2: 0})
+	if diff := cmp.Diff([]bool{false, false, false}, refused()); diff != "" {
+		t.Errorf("after the second was cleared (-want +got):\n%s", diff)
+	}
+}
+
+// dialled notes which relays a subscriber tries to reach.
+type dialled struct {
+	mu    sync.Mutex
+	addrs []string
+}
+
+func (d *dialled) Session(_ context.Context, addr netip.AddrPort) (*messenger.Session, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !slices.Contains(d.addrs, addr.String()) {
+		d.addrs = append(d.addrs, addr.String())
+	}
+	return nil, errors.New("no relay answers")
+}
+
+// A gateway must follow two relays of each failure domain, or the loss of one
+// leaves it without news; more would multiply the control traffic.
+func TestSeedsAreFollowedInEachDomain(t *testing.T) {
+	seeds := func(first int) (addrs []netip.AddrPort) {
+		for i := range 3 {
+			addrs = append(addrs, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(first + i)}), 1))
+		}
+		return addrs
+	}
+	d := &dialled{}
+	s := subscriber.New(&loader.Settings{
+		Node: "vm1", FailureDomain: "east", Relays: seeds(1),
+		Neighbours: []loader.Neighbour{{FailureDomain: "west", Relays: seeds(5)}},
+	}, d, planner.NewTable(), timer.NewService(), zap.NewNop())
+	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+	defer cancel()
+	s.Run(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slices.Sort(d.addrs)
+	want := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.5:1", "10.0.0.6:1"}
+	if diff := cmp.Diff(want, d.addrs); diff != "" {
+		t.Errorf("relays followed (-want +got):\n%s", diff)
+	}
+}
