Give a late subscriber the rest of a quarantine

A relay sent a new subscriber its quarantine entries with the time that was left when they began. A gateway that started later refused the request for up to ten minutes more, also after the quarantine was over. The entries that relays exchange were right: they carry the time that is left.

Before: TestLateSubscriberGetsTheRestOfAQuarantine gets 10m, 1m and 0s after 9 minutes; after: 1m, 0s and 0s.

--- a/relay/publisher/publisher.go
+++ b/relay/publisher/publisher.go
@@ -33,10 +33,16 @@
 	confirmed   time.Time
 	targets     map[targetKey]*peerpb.TargetState
 	members     map[string]*peerpb.Member
-	quarantine  map[uint64]*peerpb.QuarantineEntry
+	quarantine  map[uint64]quarantined
 	relay       string
 }
 
+// quarantined is an entry and when it ends.
+type quarantined struct {
+	entry *peerpb.QuarantineEntry
+	until time.Time
+}
+
 // New returns a publisher of the given relay that has nothing to tell yet.
 func New(relay string) *Publisher {
 	return &Publisher{
@@ -44,7 +50,7 @@
 		documents:   make(map[string]*peerpb.Document),
 		targets:     make(map[targetKey]*peerpb.TargetState),
 		members:     make(map[string]*peerpb.Member),
-		quarantine:  make(map[uint64]*peerpb.QuarantineEntry),
+		quarantine:  make(map[uint64]quarantined),
 		relay:       relay,
 	}
 }
@@ -55,7 +61,7 @@
 	defer p.mu.Unlock()
 	p.subscribers[stream] = wanted
 	p.send(stream, p.membersUpdate(values(p.members)))
-	p.send(stream, quarantineUpdate(values(p.quarantine)))
+	p.send(stream, quarantineUpdate(p.quarantineNow()))
 	for _, document := range p.documents {
 		p.send(stream, p.configUpdate([]*peerpb.Document{document}, false))
 	}
@@ -155,12 +161,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.quarantine)
+	now := time.Now()
 	for _, e := range entries {
-		p.quarantine[e.Fingerprint] = e
+		p.quarantine[e.Fingerprint] = quarantined{e, now.Add(e.Remaining.AsDuration())}
 	}
 	p.broadcast(quarantineUpdate(entries))
 }
 
+// quarantineNow returns the entries with the time that is left. Those that are
+// over have none, which ends them at a gateway that has missed it.
+func (p *Publisher) quarantineNow() []*peerpb.QuarantineEntry {
+	var entries []*peerpb.QuarantineEntry
+	for _, q := range p.quarantine {
+		left := max(time.Until(q.until), 0)
+		entries = append(entries, &peerpb.QuarantineEntry{
+			Fingerprint: q.entry.Fingerprint, Remaining: durationpb.New(left), LostTargets: q.entry.LostTargets,
+		})
+	}
+	return entries
+}
+
 // Targets returns the known states of all targets.
 func (p *Publisher) Targets() []*peerpb.TargetState {
 	p.mu.Lock()
--- a/relay/publisher/publisher_test.go
+++ b/relay/publisher/publisher_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"jackdawcart.org/core/messenger/peerpb"
 	"jackdawcart.org/relay/publisher"
@@ -97,6 +99,31 @@
 	}
 }
 
+// A gateway that subscribed late got a quarantine at its full length again, also
+// after it was over, and refused the request for that time.
+func TestLateSubscriberGetsTheRestOfAQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := publisher.New("east-1")
+		p.PutQuarantine([]*peerpb.QuarantineEntry{
+			{Fingerprint: 1, Remaining: durationpb.New(10 * time.Minute)},
+			{Fingerprint: 2, Remaining: durationpb.New(time.Minute)},
+			{Fingerprint: 3, Remaining: durationpb.New(0)},
+		})
+		time.Sleep(9 * time.Minute)
+		late := &recorder{}
+		p.Subscribe(late, everything)
+		got := map[uint64]time.Duration{}
+		for _, f := range late.frames {
+			for _, e := range f.GetQuarantineUpdate().GetEntries() {
+				got[e.Fingerprint] = e.Remaining.AsDuration()
+			}
+		}
+		if diff := cmp.Diff(map[uint64]time.Duration{1: time.Minute, 2: 0, 3: 0}, got); diff != "" {
+			t.Errorf("entries (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // A subscriber that does not keep up must be dropped rather than miss changes.
 func TestSlowSubscriberIsDropped(t *testing.T) {
 	p := publisher.New("east-1")
