--- /dev/null
+++ b/relay/inspector/inspector_test.go
@@ -0,0 +1,157 @@
+package inspector_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/dispatcher"
+	"jackdawcart.org/core/messenger/peerpb"
+	"jackdawcart.org/core/timer"
+	"jackdawcart.org/relay/inspector"
+)
+
+const (
+	poison    = uint64(7)
+	bystander = uint64(8)
+	t1, t2    = "10.0.0.1:80", "10.0.0.2:80"
+)
+
+// targets answers probes of those that are up.
+type targets struct{ up map[string]bool }
+
+func (p *targets) Probe(_ context.Context, target netip.AddrPort) error {
+	if p.up[target.String()] {
+		return nil
+	}
+	return errors.New("connection refused")
+}
+
+// node is one relay's inspector with what it tells its peer and its gateways.
+type node struct {
+	*inspector.Inspector
+	peer *node
+
+	mu sync.Mutex
+	// refused is until when the gateways refuse a request.
+	refused map[uint64]time.Time
+}
+
+func (n *node) Broadcast(frame *peerpb.Frame) {
+	switch kind := frame.Kind.(type) {
+	case *peerpb.Frame_LostTarget:
+		n.peer.HandleLost(kind.LostTarget)
+	case *peerpb.Frame_QuarantineUpdate:
+		n.peer.HandleUpdate(kind.QuarantineUpdate)
+	}
+}
+
+func (n *node) PutQuarantine(entries []*peerpb.QuarantineEntry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, e := range entries {
+		n.refused[e.Fingerprint] = time.Now().Add(e.Remaining.AsDuration())
+	}
+}
+
+func (n *node) gatewaysRefuse(fingerprint uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Now().Before(n.refused[fingerprint])
+}
+
+// ended tells a node how a job ended at a target.
+func (n *node) ended(target string, fingerprint uint64, failure peerpb.FailureKind) {
+	result := dispatcher.Result{Failure: failure}
+	if failure == peerpb.FailureKind_FAILURE_NONE {
+		result.Outcome = peerpb.Outcome_OUTCOME_RAN
+	}
+	n.JobEnded(target, &dispatcher.Job{Fingerprint: fingerprint}, result)
+}
+
+// lose breaks requests at a target and lets the loss be found.
+func (n *node) lose(target string, fingerprints ...uint64) {
+	for _, f := range fingerprints {
+		n.ended(target, f, peerpb.FailureKind_FAILURE_LOST)
+	}
+	time.Sleep(100 * time.Millisecond)
+}
+
+// A request that takes down target after target must be refused by all relays
+// and gateways of the failure domain, and nothing else may be.
+func TestQuarantine(t *testing.T) {
+	completed := peerpb.FailureKind_FAILURE_NONE
+	tests := []struct {
+		name string
+		up   map[string]bool
+		do   func(a, b *node)
+		want map[uint64]bool
+	}{
+		{"two targets lost, seen by one relay", nil, func(a, _ *node) {
+			a.lose(t1, poison)
+			a.lose(t2, poison)
+		}, map[uint64]bool{poison: true}},
+		{"two targets lost, seen by two relays", nil, func(a, b *node) {
+			a.lose(t1, poison)
+			b.lose(t2, poison)
+		}, map[uint64]bool{poison: true}},
+		{"one loss, seen by both owners", nil, func(a, b *node) {
+			a.lose(t1, poison)
+			b.lose(t1, poison)
+		}, map[uint64]bool{}},
+		{"connections broke, targets are up", map[string]bool{t1: true, t2: true}, func(a, _ *node) {
+			a.lose(t1, poison)
+			a.lose(t2, poison)
+		}, map[uint64]bool{}},
+		{"bystander completes elsewhere", nil, func(a, b *node) {
+			a.lose(t1, poison, bystander)
+			a.lose(t2, poison, bystander)
+			b.ended("10.0.0.3:80", bystander, completed)
+		}, map[uint64]bool{poison: true}},
+		{"completed after the quarantine", nil, func(a, b *node) {
+			a.lose(t1, poison)
+			a.lose(t2, poison)
+			time.Sleep(3 * time.Second)
+			b.ended("10.0.0.3:80", poison, completed)
+		}, map[uint64]bool{poison: false}},
+		{"the period is over", nil, func(a, _ *node) {
+			a.lose(t1, poison)
+			a.lose(t2, poison)
+			time.Sleep(11 * time.Minute)
+		}, map[uint64]bool{poison: false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				a, b := &node{refused: map[uint64]time.Time{}}, &node{refused: map[uint64]time.Time{}}
+				a.peer, b.peer = b, a
+				for i, n := range []*node{a, b} {
+					n.Inspector = inspector.New(uint64(1000*(i+1)), timer.NewService(), n, zap.NewNop())
+					n.Connect(&targets{test.up}, n)
+				}
+				go a.Run(ctx)
+				go b.Run(ctx)
+				test.do(a, b)
+				time.Sleep(3 * time.Second)
+				for name, n := range map[string]*node{"a": a, "b": b} {
+					for _, fingerprint := range []uint64{poison, bystander} {
+						if relay := n.Quarantined(fingerprint); relay != test.want[fingerprint] {
+							t.Errorf("relay %s refuses %d: %t", name, fingerprint, relay)
+						}
+						if gateways := n.gatewaysRefuse(fingerprint); gateways != test.want[fingerprint] {
+							t.Errorf("gateways of %s refuse %d: %t", name, fingerprint, gateways)
+						}
+					}
+				}
+			})
+		})
+	}
+}
