Follow a replaced relay at its new address

A relay kept the address at which it had first followed a peer. When a VM was replaced under its name before anybody had missed it, its targets stayed unknown to that relay and to the gateways that follow it. The members themselves had the new address.

--- a/relay/controller/controller.go
+++ b/relay/controller/controller.go
@@ -84,7 +84,7 @@
 	// addresses holds the nodes met at seed addresses, by node.
 	addresses  map[string]netip.AddrPort
 	neighbours map[string]string
-	followed   map[string]context.CancelFunc
+	followed   map[string]followed
 
 	view      uint64
 	reading   bool
@@ -125,7 +125,7 @@
 		incoming:    make(map[string]*messenger.Stream),
 		addresses:   make(map[string]netip.AddrPort),
 		neighbours:  make(map[string]string),
-		followed:    make(map[string]context.CancelFunc),
+		followed:    make(map[string]followed),
 	}
 	c.links.SetHandler(c)
 	return c
--- a/relay/controller/controller_test.go
+++ b/relay/controller/controller_test.go
@@ -28,6 +28,9 @@
 	"jackdawcart.org/relay/publisher"
 )
 
+// incarnations makes each node a new process.
+var incarnations uint64
+
 // bound is the time within which the nodes must agree; a change of the
 // configuration has 7 s.
 const bound = 7 * time.Second
@@ -102,7 +105,9 @@
 // node is one relay's controller with what it hears of lost targets.
 type node struct {
 	*controller.Controller
-	addr netip.AddrPort
+	publisher *publisher.Publisher
+	addr      netip.AddrPort
+	stop      func()
 
 	mu   sync.Mutex
 	lost []string
@@ -121,31 +126,39 @@
 // start runs a controller that knows the address of one other node at most.
 func start(t *testing.T, s *store, name string, seeds ...netip.AddrPort) *node {
 	t.Helper()
+	incarnations++
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{addr: netip.MustParseAddrPort(listener.Addr().String())}
+	ctx, cancel := context.WithCancel(t.Context())
+	n := &node{addr: netip.MustParseAddrPort(listener.Addr().String()), publisher: publisher.New(name), stop: cancel}
 	settings := &loader.Settings{Node: name, FailureDomain: "east", SessionAddress: n.addr, Relays: seeds}
 	hello := &peerpb.Hello{
-		Node: name, Incarnation: 1, FailureDomain: "east", Role: peerpb.Role_ROLE_RELAY, SessionAddress: n.addr.String(),
+		Node: name, Incarnation: incarnations, FailureDomain: "east", Role: peerpb.Role_ROLE_RELAY, SessionAddress: n.addr.String(),
 	}
-	timers, publish, log := timer.NewService(), publisher.New(name), zap.NewNop()
+	timers, log := timer.NewService(), zap.NewNop()
 	peers := messenger.NewPeers(key{}, hello)
 	t.Cleanup(peers.Close)
 	n.Controller = controller.New(controller.Config{
-		Settings: settings, Incarnation: 1, Timers: timers, Store: view{s, name}, Peers: peers, Publisher: publish,
-		Connector:  connector.New(name, 1, timers, dispatcher.New(timers, nil), publish, tracer.Disabled(), log),
+		Settings: settings, Incarnation: incarnations, Timers: timers, Store: view{s, name}, Peers: peers, Publisher: n.publisher,
+		Connector:  connector.New(name, 1, timers, dispatcher.New(timers, nil), n.publisher, tracer.Disabled(), log),
 		Quarantine: n, Log: log,
 	})
 	serve := func(_ context.Context, peer *peerpb.Hello, stream *messenger.Stream) {
 		first, err := stream.Receive()
-		if err == nil && first.GetSubscribe() == nil {
-			n.Serve(peer, stream, first)
+		if err != nil {
+			return
+		}
+		if wanted := first.GetSubscribe(); wanted != nil {
+			n.publisher.Subscribe(stream, wanted)
+			_, _ = stream.Receive() // Ends with the stream.
+			return
 		}
+		n.Serve(peer, stream, first)
 	}
-	go acceptor.New(key{}, hello, serve, log).Run(t.Context(), listener)
-	go n.Run(t.Context())
+	go acceptor.New(key{}, hello, serve, log).Run(ctx, listener)
+	go n.Run(ctx)
 	return n
 }
 
@@ -234,3 +247,24 @@
 		}
 	}
 }
+
+// A VM that is replaced under its name before anybody has missed it was followed
+// at its old address for ever, and its targets were known to no peer.
+func TestReplacedNodeIsFollowedAtItsNewAddress(t *testing.T) {
+	s := &store{changed: make(chan struct{}), readers: map[string]int{}}
+	s.put(document)
+	r1 := start(t, s, "r1")
+	former := start(t, s, "r2", r1.addr)
+	agree(t, "start", "r1, r2, library@1 deleted=false", r1, former)
+	former.stop()
+	r2 := start(t, s, "r2", r1.addr)
+	agree(t, "replacement", "r1, r2, library@1 deleted=false", r1, r2)
+	r2.publisher.PutTarget(&peerpb.TargetState{Service: "library", Set: "old", Target: "t1", Relay: "r2", Incarnation: incarnations, Sequence: 1})
+	limit := time.Now().Add(bound)
+	for len(r1.publisher.Targets()) == 0 {
+		if time.Now().After(limit) {
+			t.Fatalf("the target of the new process is not known after %v", bound)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/relay/controller/members.go
+++ b/relay/controller/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,17 +52,28 @@
 	}
 }
 
+// followed is a subscription to the targets of a peer.
+type followed struct {
+	addr   netip.AddrPort
+	cancel context.CancelFunc
+}
+
 // follow subscribes to the targets that a peer owns, so that every relay can
-// tell a subscriber about all targets of the failure domain.
+// tell a subscriber about all targets of the failure domain. A peer that was
+// replaced is followed at its new address.
 func (c *Controller) follow(ctx context.Context, m *detector.Member) {
-	if _, ok := c.followed[m.Node]; ok {
-		return
+	if f, ok := c.followed[m.Node]; ok {
+		if f.addr == m.RelayAddress {
+			return
+		}
+		f.cancel()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	c.followed[m.Node] = cancel
+	c.followed[m.Node] = followed{m.RelayAddress, cancel}
+	addr := m.RelayAddress
 	go func() {
 		for ctx.Err() == nil {
-			c.followOnce(ctx, m)
+			c.followOnce(ctx, addr)
 			select {
 			case <-time.After(followRetry):
 			case <-ctx.Done():
@@ -71,14 +83,14 @@
 }
 
 func (c *Controller) unfollow(node string) {
-	if cancel, ok := c.followed[node]; ok {
-		cancel()
+	if f, ok := c.followed[node]; ok {
+		f.cancel()
 		delete(c.followed, node)
 	}
 }
 
-func (c *Controller) followOnce(ctx context.Context, m *detector.Member) {
-	session, err := c.config.Peers.Session(ctx, m.RelayAddress)
+func (c *Controller) followOnce(ctx context.Context, addr netip.AddrPort) {
+	session, err := c.config.Peers.Session(ctx, addr)
 	if err != nil {
 		return
 	}
