--- a/core/adminapi/adminapi.go
+++ b/core/adminapi/adminapi.go
@@ -35,6 +35,12 @@
 	At time.Time `json:"at"`
 }
 
+// Now returns the origin of a view that is made now.
+func (o Origin) Now() Origin {
+	o.At = time.Now()
+	return o
+}
+
 // CodeNotServed is the code of a failure, with status 404, of a process that
 // does not have the view, such as a relay that is asked to explain a query.
 const CodeNotServed = "not-served"
--- a/gateway/reporter/reporter.go
+++ b/gateway/reporter/reporter.go
@@ -31,15 +31,9 @@
 	return &Reporter{origin: origin, control: control, table: table}
 }
 
-func (r *Reporter) at() adminapi.Origin {
-	origin := r.origin
-	origin.At = time.Now()
-	return origin
-}
-
 // Members shows the nodes of the tier.
 func (r *Reporter) Members(*http.Request) any {
-	view := adminapi.Members{Origin: r.at(), Members: []adminapi.Member{}}
+	view := adminapi.Members{Origin: r.origin.Now(), Members: []adminapi.Member{}}
 	for _, m := range r.control.Members() {
 		view.Members = append(view.Members, adminapi.MemberOf(m))
 	}
@@ -48,7 +42,7 @@
 
 // Targets shows the targets of all services.
 func (r *Reporter) Targets(*http.Request) any {
-	view := adminapi.Targets{Origin: r.at(), Targets: []adminapi.Target{}}
+	view := adminapi.Targets{Origin: r.origin.Now(), Targets: []adminapi.Target{}}
 	for _, name := range r.table.Services() {
 		entry, ok := r.table.Service(name)
 		if !ok {
@@ -77,7 +71,7 @@
 func (r *Reporter) Configuration(*http.Request) any {
 	revision, confirmed := r.control.Configuration()
 	view := adminapi.Configuration{
-		Origin: r.at(), Revision: revision, NewestHeard: revision,
+		Origin: r.origin.Now(), Revision: revision, NewestHeard: revision,
 		Source: adminapi.SourcePeer, Services: []adminapi.Service{},
 	}
 	if confirmed.IsZero() {
@@ -97,7 +91,7 @@
 
 // Quarantine shows the requests that are refused because they crash targets.
 func (r *Reporter) Quarantine(*http.Request) any {
-	view := adminapi.Quarantine{Origin: r.at(), Entries: []adminapi.QuarantineEntry{}, Suspects: []adminapi.Suspect{}}
+	view := adminapi.Quarantine{Origin: r.origin.Now(), Entries: []adminapi.QuarantineEntry{}, Suspects: []adminapi.Suspect{}}
 	for fingerprint, until := range r.control.Quarantine() {
 		view.Entries = append(view.Entries, adminapi.QuarantineEntry{
 			Fingerprint: strconv.FormatUint(fingerprint, 16), LostTargets: []string{}, Until: until,
@@ -111,7 +105,7 @@
 	service := request.URL.Query().Get(adminapi.ParameterService)
 	caller := request.URL.Query().Get(adminapi.ParameterCaller)
 	view := adminapi.Explain{
-		Origin: r.at(), Service: service, Caller: caller,
+		Origin: r.origin.Now(), Service: service, Caller: caller,
 		Snapshots: []adminapi.SnapshotChoice{}, Shards: []adminapi.ShardChoice{},
 	}
 	entry, ok := r.table.Service(service)
--- a/relay/reporter/reporter.go
+++ b/relay/reporter/reporter.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"time"
 
 	"jackdawcart.org/core/adminapi"
 	"jackdawcart.org/core/messenger/peerpb"
@@ -48,15 +47,9 @@
 	return &Reporter{origin: origin, control: control, targets: targets, connections: connections, quarantine: quarantine}
 }
 
-func (r *Reporter) at() adminapi.Origin {
-	origin := r.origin
-	origin.At = time.Now()
-	return origin
-}
-
 // Members shows the nodes of the failure domain.
 func (r *Reporter) Members(*http.Request) any {
-	view := adminapi.Members{Origin: r.at(), Members: []adminapi.Member{}}
+	view := adminapi.Members{Origin: r.origin.Now(), Members: []adminapi.Member{}}
 	for _, m := range r.control.View().Members {
 		view.Members = append(view.Members, adminapi.MemberOf(m))
 	}
@@ -67,7 +60,7 @@
 func (r *Reporter) Configuration(*http.Request) any {
 	control := r.control.View()
 	view := adminapi.Configuration{
-		Origin: r.at(), Revision: control.Revision, NewestHeard: control.Revision,
+		Origin: r.origin.Now(), Revision: control.Revision, NewestHeard: control.Revision,
 		Reader: control.Reader, Source: source(control), Age: parser.Duration(control.Age),
 		Services: []adminapi.Service{},
 	}
@@ -95,7 +88,7 @@
 // Targets shows the targets of the failure domain as their owners report them,
 // with the load of those that this relay owns.
 func (r *Reporter) Targets(*http.Request) any {
-	view := adminapi.Targets{Origin: r.at(), Targets: []adminapi.Target{}}
+	view := adminapi.Targets{Origin: r.origin.Now(), Targets: []adminapi.Target{}}
 	own := r.connections.Connections()
 	for _, state := range r.targets.Targets() {
 		if state.Phase == peerpb.TargetPhase_TARGET_PHASE_UNKNOWN {
@@ -134,7 +127,7 @@
 
 // Quarantine shows the requests that are refused because they crash targets.
 func (r *Reporter) Quarantine(*http.Request) any {
-	view := adminapi.Quarantine{Origin: r.at(), Entries: []adminapi.QuarantineEntry{}, Suspects: []adminapi.Suspect{}}
+	view := adminapi.Quarantine{Origin: r.origin.Now(), Entries: []adminapi.QuarantineEntry{}, Suspects: []adminapi.Suspect{}}
 	for _, e := range r.quarantine.Entries() {
 		view.Entries = append(view.Entries, adminapi.QuarantineEntry{
 			Fingerprint: strconv.FormatUint(e.Fingerprint, 16), LostTargets: []string{},
