--- /dev/null
+++ b/core/messenger/links_test.go
@@ -0,0 +1,129 @@
+package messenger_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jackdawcart.org/core/messenger"
+	"jackdawcart.org/core/messenger/peerpb"
+)
+
+// events are what a handler of links is told.
+type events chan string
+
+func (e events) Received(node string, frame *peerpb.Frame) {
+	e <- fmt.Sprint(node, " ", frame.GetProbe().GetSequence())
+}
+
+func (e events) Lost(node string) { e <- node + " lost" }
+
+func (e events) next(t *testing.T) string {
+	t.Helper()
+	select {
+	case event := <-e:
+		return event
+	case <-time.After(5 * time.Second):
+		t.Fatal("no event within 5s")
+		return ""
+	}
+}
+
+// closable echoes the frames of its sessions until it is closed.
+func closable(t *testing.T, keys messenger.KeySource) (addr netip.AddrPort, closeAll func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := make(chan net.Conn, 8)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				close(conns)
+				return
+			}
+			conns <- conn
+			go echo(conn, keys)
+		}
+	}()
+	closeAll = func() {
+		listener.Close()
+		for conn := range conns {
+			conn.Close()
+		}
+	}
+	return netip.MustParseAddrPort(listener.Addr().String()), closeAll
+}
+
+func probe(sequence uint64) *peerpb.Frame {
+	return &peerpb.Frame{Kind: &peerpb.Frame_Probe{Probe: &peerpb.Probe{Sequence: sequence}}}
+}
+
+// A frame that Send refuses must not arrive, because the gateway sends the
+// request elsewhere; one whose link ends must be reported as lost, once, or its
+// request waits until the deadline. Post keeps frames while the link is opened.
+func TestLinks(t *testing.T) {
+	keys := fixedKeys{[]byte("k")}
+	peers := messenger.NewPeers(keys, &peerpb.Hello{Node: "client"})
+	defer peers.Close()
+	links, got := messenger.NewLinks(peers), make(events, 16)
+	links.SetHandler(got)
+	defer links.Close()
+	first, closeFirst := closable(t, keys)
+	second, closeSecond := closable(t, keys)
+	defer closeSecond()
+
+	if links.Send("r1", first, probe(1)) == nil {
+		t.Error("a frame was accepted before the link was open")
+	}
+	links.Post("r1", first, probe(2))
+	var seen []string
+	seen = append(seen, got.next(t))
+	if err := links.Send("r1", first, probe(3)); err != nil || !links.Settled() {
+		t.Errorf("send on an open link: %v; settled %t", err, links.Settled())
+	}
+	seen = append(seen, got.next(t))
+	closeFirst()
+	seen = append(seen, got.next(t))
+	if links.Send("r1", first, probe(4)) == nil {
+		t.Error("a frame was accepted on a lost link")
+	}
+	// The node is back at another address.
+	links.Post("r1", second, probe(5))
+	seen = append(seen, got.next(t))
+	if diff := cmp.Diff([]string{"r1 2", "r1 3", "r1 lost", "r1 5"}, seen); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+	if len(got) != 0 {
+		t.Errorf("further event %q", <-got)
+	}
+}
+
+// A call to one peer that does not answer must not hold up a call to another,
+// or one silent relay would stop the whole gateway.
+func TestSilentPeerDoesNotBlockOthers(t *testing.T) {
+	keys := fixedKeys{[]byte("k")}
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	peers := messenger.NewPeers(keys, &peerpb.Hello{Node: "client"})
+	defer peers.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _ = peers.Session(ctx, netip.MustParseAddrPort(silent.Addr().String())) }()
+	time.Sleep(50 * time.Millisecond)
+	within, stop := context.WithTimeout(t.Context(), time.Second)
+	defer stop()
+	if _, err := peers.Session(within, serve(t, keys)); err != nil {
+		t.Errorf("session to another peer: %v", err)
+	}
+}
