--- a/gateway/subscriber/subscriber_test.go
+++ b/gateway/subscriber/subscriber_test.go
@@ -68,6 +68,7 @@
 	t      *testing.T
 	table  *planner.Table
 	stream *messenger.Stream
+	dialed *dialed
 	marks  uint64
 }
 
@@ -77,8 +78,8 @@
 	settings := &loader.Settings{Node: "vm1", FailureDomain: "east", Relays: []netip.AddrPort{r.addr}}
 	peers := messenger.NewPeers(key{}, &peerpb.Hello{Node: "vm1", Role: peerpb.Role_ROLE_GATEWAY})
 	t.Cleanup(peers.Close)
-	f := &fixture{t: t, table: planner.NewTable()}
-	f.Subscriber = subscriber.New(settings, peers, f.table, timer.NewService(), zap.NewNop())
+	f := &fixture{t: t, table: planner.NewTable(), dialed: &dialed{next: peers}}
+	f.Subscriber = subscriber.New(settings, f.dialed, f.table, timer.NewService(), zap.NewNop())
 	go f.Run(t.Context())
 	f.stream = <-r.stream
 	return f
@@ -238,19 +239,29 @@
 	}
 }
 
-// dialled notes which relays a subscriber tries to reach.
-type dialled struct {
+// dialed notes which relays a subscriber tries to reach.
+type dialed struct {
+	next  subscriber.Sessions
 	mu    sync.Mutex
 	addrs []string
 }
 
-func (d *dialled) Session(_ context.Context, addr netip.AddrPort) (*messenger.Session, error) {
+func (d *dialed) Session(ctx context.Context, addr netip.AddrPort) (*messenger.Session, error) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	if !slices.Contains(d.addrs, addr.String()) {
 		d.addrs = append(d.addrs, addr.String())
 	}
-	return nil, errors.New("no relay answers")
+	d.mu.Unlock()
+	if d.next == nil {
+		return nil, errors.New("no relay answers")
+	}
+	return d.next.Session(ctx, addr)
+}
+
+func (d *dialed) list() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(slices.Values(d.addrs))
 }
 
 // A gateway must follow two relays of each failure domain, or the loss of one
@@ -262,7 +273,7 @@
 		}
 		return addrs
 	}
-	d := &dialled{}
+	d := &dialed{}
 	s := subscriber.New(&loader.Settings{
 		Node: "vm1", FailureDomain: "east", Relays: seeds(1),
 		Neighbours: []loader.Neighbour{{FailureDomain: "west", Relays: seeds(5)}},
@@ -270,11 +281,31 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
 	defer cancel()
 	s.Run(ctx)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	slices.Sort(d.addrs)
 	want := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.5:1", "10.0.0.6:1"}
-	if diff := cmp.Diff(want, d.addrs); diff != "" {
+	if diff := cmp.Diff(want, d.list()); diff != "" {
 		t.Errorf("relays followed (-want +got):\n%s", diff)
 	}
 }
+
+// The relay of the own VM must be among the two that are followed, because it
+// registers the gateway for the others; a dead one must not take its place.
+func TestOwnRelayIsFollowed(t *testing.T) {
+	for _, state := range []peerpb.MemberState{alive, dead} {
+		f := follow(t)
+		at := func(node, addr string, state peerpb.MemberState) *peerpb.Member {
+			m := member(node, 5, state)
+			m.RelayAddress = addr
+			return m
+		}
+		own := "127.0.0.2:1"
+		f.members(at("vm1", own, state), at("r2", "127.0.0.3:1", alive), at("r3", "127.0.0.4:1", alive))
+		time.Sleep(1200 * time.Millisecond) // The choice is made each second.
+		got := f.dialed.list()
+		if slices.Contains(got, own) != (state == alive) {
+			t.Errorf("relay of the own VM is %v: followed %v", state, got)
+		}
+		if len(got) > 3 { // The seed and the two that are chosen.
+			t.Errorf("followed %v", got)
+		}
+	}
+}
