Examine a target after a loss that found no room

When the ring of losses was full, the target of a further loss was noted as waiting but never examined, then or later, so that a request that took it down was not found. The ring itself only drops what it cannot hold.

Before: TestLossesBeyondTheRingDoNotBlindTheInspector fails; after: it passes.

--- a/relay/inspector/inspector.go
+++ b/relay/inspector/inspector.go
@@ -129,8 +129,10 @@
 		i.state.Completed(now, job.Fingerprint)
 	case result.Failure == peerpb.FailureKind_FAILURE_LOST:
 		if i.broken[target] == nil {
+			if !i.losses.Put(target) {
+				return
+			}
 			i.broken[target] = make(map[uint64]time.Time)
-			i.losses.Put(target)
 		}
 		i.broken[target][job.Fingerprint] = now
 	}
--- a/relay/inspector/inspector_test.go
+++ b/relay/inspector/inspector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -155,3 +156,29 @@
 		})
 	}
 }
+
+// A loss that found no room in the ring of those to be examined kept its target
+// from being examined ever again.
+func TestLossesBeyondTheRingDoNotBlindTheInspector(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		n := &node{refused: map[uint64]time.Time{}, peer: &node{refused: map[uint64]time.Time{}}}
+		n.Inspector = inspector.New(1, timer.NewService(), n, zap.NewNop())
+		n.peer.Inspector = inspector.New(2, timer.NewService(), n.peer, zap.NewNop())
+		n.Connect(&targets{}, n)
+		const losses = 300
+		at := func(i int) string { return fmt.Sprintf("10.1.%d.%d:80", i/256, i%256) }
+		for i := range losses {
+			n.ended(at(i), bystander, peerpb.FailureKind_FAILURE_LOST)
+		}
+		go n.Run(ctx)
+		time.Sleep(time.Second)
+		n.lose(at(losses-1), poison)
+		n.lose(at(losses-2), poison)
+		time.Sleep(3 * time.Second)
+		if !n.Quarantined(poison) {
+			t.Error("a request that took two targets down is not refused")
+		}
+	})
+}
