--- a/core/planner/table.go
+++ b/core/planner/table.go
@@ -221,20 +221,13 @@
 		t.reports[key] = reports
 	}
 	last, ok := reports[state.Relay]
-	if ok && !newer(state, last) {
+	if ok && !state.NewerThan(last) {
 		return false
 	}
 	reports[state.Relay] = state
 	return true
 }
 
-func newer(a, b *peerpb.TargetState) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
-	}
-	return a.Sequence > b.Sequence
-}
-
 func (t *Table) copyView() *view {
 	current := t.view.Load()
 	return &view{documents: maps.Clone(current.documents), replicas: maps.Clone(current.replicas)}
--- a/relay/publisher/publisher.go
+++ b/relay/publisher/publisher.go
@@ -109,7 +109,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	key := targetKey{state.Service, state.Set, state.Target, state.Relay}
-	if known, ok := p.targets[key]; ok && !newer(state, known) {
+	if known, ok := p.targets[key]; ok && !state.NewerThan(known) {
 		return
 	}
 	p.targets[key] = state
@@ -253,13 +253,6 @@
 	}}
 }
 
-func newer(a, b *peerpb.TargetState) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
-	}
-	return a.Sequence > b.Sequence
-}
-
 func values[K comparable, V any](m map[K]V) []V {
 	list := make([]V, 0, len(m))
 	for _, v := range m {
