Let the issuer decide on a ticket that its gateway refuses

A gateway that refused a ticketed request (stopping, no configuration, unknown service, quarantined, no time) first said not-run, which is false for a ticket that has run, and then unknown, which left fresh tickets undecided: TestPoisonExecute and TestBadRequests failed. The refusal now goes with the ticket to the issuer: a free ticket ends as not run with the refusal's code, a used one returns its answer, one of another gateway stays unknown.

--- a/gateway/issuer/issuer.go
+++ b/gateway/issuer/issuer.go
@@ -72,6 +72,9 @@
 	Caller   string
 	Deadline time.Time
 	Execute  *peerpb.Execute
+	// Refusal is why this gateway does not run the request, or nil. It is given
+	// to the caller unless the ticket has been used already.
+	Refusal *Error
 }
 
 // Issuer owns the tickets of one gateway process.
@@ -170,7 +173,7 @@
 	ticket, err := i.table.Verify(request.Ticket, request.Caller)
 	if err != nil {
 		i.mu.Unlock()
-		return nil, ticketError("execute", err)
+		return nil, refusalOr(request.Refusal, ticketError("execute", err))
 	}
 	incarnation, addr, known := i.config.Directory.Gateway(ticket.Node)
 	issuer := container.None[uint64]()
@@ -179,6 +182,10 @@
 	}
 	route := i.table.Route(ticket, issuer)
 	i.mu.Unlock()
+	if request.Refusal != nil && route != ticketer.RouteHere {
+		// Only its issuer knows whether the ticket has been used.
+		return nil, request.Refusal.with(peerpb.Outcome_OUTCOME_UNKNOWN)
+	}
 	switch route {
 	case ticketer.RouteHere:
 		return i.execute(ctx, ticket, request)
@@ -200,6 +207,12 @@
 		decision := i.table.Begin(i.config.Timers.Now(), ticket, fingerprint)
 		switch decision.Verdict {
 		case ticketer.VerdictRun:
+			if request.Refusal != nil {
+				// The ticket ends here, so that a delayed copy cannot run either.
+				i.table.Finish(i.config.Timers.Now(), ticket.ID, peerpb.Outcome_OUTCOME_NOT_RUN, nil)
+				i.mu.Unlock()
+				return nil, request.Refusal
+			}
 			done := make(chan struct{})
 			i.waiting[ticket.ID] = done
 			i.running.Add(1)
--- a/gateway/responder/execute.go
+++ b/gateway/responder/execute.go
@@ -72,14 +72,12 @@
 	}
 	fingerprint := quarantiner.Fingerprint(request.Service, request.Operation, request.Payload)
 	deadline := request.Deadline.Or(defaultExecuteDeadline)
-	if refusal := r.refuseExecute(request.Service, deadline, fingerprint); refusal != nil {
-		// Only its issuer knows whether a ticket has been used.
-		if request.Ticket.IsSet() {
-			refusal.Outcome = callerapi.OutcomeUnknown
-		}
+	refusal := r.refuseExecute(request.Service, deadline, fingerprint)
+	if refusal != nil && !request.Ticket.IsSet() {
 		return issuer.Request{}, refusal
 	}
 	return issuer.Request{
+		Refusal:  issuerRefusal(refusal),
 		Ticket:   request.Ticket.Or(""),
 		Caller:   caller,
 		Deadline: r.config.Timers.Now().Add(min(deadline, maxExecuteDeadline)),
@@ -90,6 +88,17 @@
 	}, nil
 }
 
+// issuerRefusal leaves the refusal of a ticket to the issuer, which knows
+// whether the ticket has been used.
+func issuerRefusal(refusal *Error) *issuer.Error {
+	if refusal == nil {
+		return nil
+	}
+	return &issuer.Error{
+		Op: refusal.Op, Kind: refusal.Kind, Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Message: refusal.Message,
+	}
+}
+
 // refuseExecute returns why a request is refused, or nil.
 func (r *Responder) refuseExecute(service string, deadline time.Duration, fingerprint uint64) *Error {
 	if refusal := r.closed("execute"); refusal != nil {
