Ignore late reports of a relay that has left

A gateway forgets the reports of a relay when it hears that the relay has left. A report that arrives afterwards, through another relay, made it an owner again until its successor reported.

--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -135,7 +135,7 @@
 	case *peerpb.Frame_ConfigUpdate:
 		s.applyConfig(kind.ConfigUpdate)
 	case *peerpb.Frame_TargetUpdate:
-		s.table.Apply(kind.TargetUpdate.Targets, s.timers.Now())
+		s.table.Apply(s.fromLive(kind.TargetUpdate.Targets), s.timers.Now())
 	case *peerpb.Frame_MembersUpdate:
 		s.applyMembers(kind.MembersUpdate)
 	case *peerpb.Frame_QuarantineUpdate:
@@ -143,6 +143,21 @@
 	}
 }
 
+// fromLive leaves out what a relay that has left or died once reported. Such a
+// report may arrive after the news of its end, which has removed the others.
+func (s *Subscriber) fromLive(states []*peerpb.TargetState) []*peerpb.TargetState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := make([]*peerpb.TargetState, 0, len(states))
+	for _, state := range states {
+		relay, ok := s.members[state.Relay]
+		if !ok || live(relay) || state.Incarnation > relay.Incarnation {
+			kept = append(kept, state)
+		}
+	}
+	return kept
+}
+
 func (s *Subscriber) applyConfig(update *peerpb.ConfigUpdate) {
 	now := s.timers.Now()
 	for _, d := range update.Documents {
