--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -143,19 +143,16 @@
 	}
 }
 
-// fromLive leaves out what a relay that has left or died once reported. Such a
-// report may arrive after the news of its end, which has removed the others.
+// fromLive leaves out the reports of relays that have died or left: another
+// relay may send them again before it has heard. A later process of the relay
+// has a higher incarnation than any record of the former one.
 func (s *Subscriber) fromLive(states []*peerpb.TargetState) []*peerpb.TargetState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	kept := make([]*peerpb.TargetState, 0, len(states))
-	for _, state := range states {
-		relay, ok := s.members[state.Relay]
-		if !ok || live(relay) || state.Incarnation > relay.Incarnation {
-			kept = append(kept, state)
-		}
-	}
-	return kept
+	return slices.DeleteFunc(states, func(state *peerpb.TargetState) bool {
+		m, ok := s.members[state.Relay]
+		return ok && !live(m) && state.Incarnation <= m.Incarnation
+	})
 }
 
 func (s *Subscriber) applyConfig(update *peerpb.ConfigUpdate) {
--- a/relay/controller/controller.go
+++ b/relay/controller/controller.go
@@ -84,7 +84,7 @@
 	// addresses holds the nodes met at seed addresses, by node.
 	addresses  map[string]netip.AddrPort
 	neighbours map[string]string
-	followed   map[string]context.CancelFunc
+	followed   map[string]followed
 
 	view      uint64
 	reading   bool
@@ -94,7 +94,10 @@
 	askedVMs  time.Time
 	vmSeeds   []seed
 	meetAt    time.Time
-	agedAt    time.Time
+	// toldLeaving is what was last sent about leaving VMs, and toldAt when.
+	toldLeaving *peerpb.LeavingVMs
+	toldAt      time.Time
+	agedAt      time.Time
 }
 
 // event is one input of the control loop.
@@ -125,7 +128,7 @@
 		incoming:    make(map[string]*messenger.Stream),
 		addresses:   make(map[string]netip.AddrPort),
 		neighbours:  make(map[string]string),
-		followed:    make(map[string]context.CancelFunc),
+		followed:    make(map[string]followed),
 	}
 	c.links.SetHandler(c)
 	return c
@@ -207,7 +210,7 @@
 	}
 	switch kind := e.frame.Kind.(type) {
 	case *peerpb.Frame_LeavingVms:
-		c.config.Connector.SetLeaving(kind.LeavingVms.Names, kind.LeavingVms.Addresses)
+		c.config.Connector.MarkLeaving(kind.LeavingVms.Names, kind.LeavingVms.Addresses)
 		return
 	case *peerpb.Frame_LostTarget:
 		c.config.Quarantine.HandleLost(kind.LostTarget)
