--- a/failuretests/input_test.go
+++ b/failuretests/input_test.go
@@ -87,14 +87,9 @@
 	}
 	for _, test := range cases {
 		status, r := d.raw(test.path, test.body)
-		want := callerapi.OutcomeNotRun
-		if test.path == execute && test.code == "unknown-service" {
-			// The request may have run under its ticket before the service went.
-			want = callerapi.OutcomeUnknown
-		}
-		if status != test.status || r.Code != test.code || r.Outcome != string(want) {
-			t.Errorf("%s: status %d, code %q, outcome %q (%s); want %d, %q, %q",
-				test.name, status, r.Code, r.Outcome, r.Message, test.status, test.code, want)
+		if status != test.status || r.Code != test.code || r.Outcome != string(callerapi.OutcomeNotRun) {
+			t.Errorf("%s: status %d, code %q, outcome %q (%s); want %d, %q, not-run",
+				test.name, status, r.Code, r.Outcome, r.Message, test.status, test.code)
 		}
 	}
 	status, r := d.rawFrom("", query, `{"services":["library"],"text":"x"}`)
