Refuse a ticket that nobody issued as not run

A gateway that refuses a request without its issuer answered unknown for every ticket, also for text that is no ticket or belongs to another caller, under which nothing can have run.

--- a/gateway/issuer/issuer.go
+++ b/gateway/issuer/issuer.go
@@ -164,6 +164,15 @@
 	return ticket, nil
 }
 
+// MayHaveRun reports whether a request may have run under a ticket, as far as
+// can be told without asking its issuer.
+func (i *Issuer) MayHaveRun(ticket, caller string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_, err := i.table.Verify(ticket, caller)
+	return err == nil || kindOfTicket(err) == ticketer.KindForged
+}
+
 // Execute runs a request under its ticket, or returns what is known of it.
 func (i *Issuer) Execute(ctx context.Context, request Request) (*peerpb.ExecuteAnswer, error) {
 	i.mu.Lock()
--- a/gateway/responder/execute.go
+++ b/gateway/responder/execute.go
@@ -74,7 +74,7 @@
 	deadline := request.Deadline.Or(defaultExecuteDeadline)
 	if refusal := r.refuseExecute(request.Service, deadline, fingerprint); refusal != nil {
 		// Only its issuer knows whether a ticket has been used.
-		if request.Ticket.IsSet() {
+		if ticket, ok := request.Ticket.Get(); ok && r.config.Issuer.MayHaveRun(ticket, caller) {
 			refusal.Outcome = callerapi.OutcomeUnknown
 		}
 		return issuer.Request{}, refusal
--- a/gateway/responder/responder_test.go
+++ b/gateway/responder/responder_test.go
@@ -173,7 +173,7 @@
 		run    = "/v1/execute"
 		search = `{"services":["library"],"text":"x"}`
 		keyed  = `{"idempotency-key":"k","service":"library","operation":"issue","payload":"x"}`
-		ticket = `{"ticket":"T","service":"library","operation":"issue","payload":"x"}`
+		ticket = `{"ticket":"TICKET","service":"library","operation":"issue","payload":"x"}`
 	)
 	tests := []struct {
 		name, path, body string
@@ -194,9 +194,10 @@
 		{"stopping", "/v1/tickets", ``, stopping, refusal{"shutting-down", "not-run", 503}},
 		{"ticket and key", run, strings.Replace(keyed, "{", `{"ticket":"T",`, 1), nil, refusal{"malformed", "not-run", 400}},
 		{"neither", run, `{"service":"library","operation":"issue","payload":"x"}`, nil, refusal{"malformed", "not-run", 400}},
-		{"forged ticket", run, ticket, nil, refusal{"ticket-invalid", "not-run", 403}},
+		{"forged ticket", run, strings.Replace(ticket, "TICKET", "forged", 1), nil, refusal{"ticket-invalid", "not-run", 403}},
 		{"key, stopping", run, keyed, stopping, refusal{"shutting-down", "not-run", 503}},
 		{"key, quarantined", run, strings.Replace(keyed, `"x"`, `"poison"`, 1), nil, refusal{"quarantined", "not-run", 422}},
+		{"no ticket, unknown service", run, `{"ticket":"t","service":"nope","operation":"issue","payload":"x"}`, nil, refusal{"unknown-service", "not-run", 404}},
 		{"ticket, stopping", run, ticket, stopping, refusal{"shutting-down", "unknown", 503}},
 		{"ticket, starting", run, ticket, starting, refusal{"not-ready", "unknown", 503}},
 		{"ticket, unknown service", run, strings.Replace(ticket, "library", "nope", 1), nil, refusal{"unknown-service", "unknown", 404}},
@@ -206,10 +207,14 @@
 	for _, test := range tests {
 		t.Run(test.path+" "+test.name, func(t *testing.T) {
 			f := newFixture(t)
+			ticket, err := f.issuer.Issue("inspector")
+			if err != nil {
+				t.Fatal(err)
+			}
 			if test.change != nil {
 				test.change(f)
 			}
-			if diff := cmp.Diff(test.want, f.post(t, test.path, test.body)); diff != "" {
+			if diff := cmp.Diff(test.want, f.post(t, test.path, strings.Replace(test.body, "TICKET", ticket, 1))); diff != "" {
 				t.Errorf("refusal (-want +got):\n%s", diff)
 			}
 			if work := f.work.count.Load(); work != 0 {
