--- a/core/dispatcher/target.go
+++ b/core/dispatcher/target.go
@@ -37,6 +37,19 @@
 	latency time.Duration
 }
 
+type loadValues struct {
+	inFlight, queued, limit uint32
+	latency                 time.Duration
+}
+
+// started is a job that the limit lets run.
+type started struct {
+	job    *Job
+	at     time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
 type jobKey struct {
 	query        string
 	sub, attempt uint32
@@ -53,11 +66,17 @@
 	observer Observer
 	inbox    *buffer.Ring[event]
 	done     *buffer.Ring[event]
-	state    *limiter.State
-	queue    []*Job
-	load     atomic.Pointer[peerpb.TargetLoad]
-	ctx      context.Context
-	halt     context.CancelFunc
+	// jobs hands a job to a worker that waits for one.
+	jobs  chan started
+	state *limiter.State
+	queue []*Job
+	// sweep ticks while jobs are queued.
+	sweep *timer.Subscription
+	load  atomic.Pointer[peerpb.TargetLoad]
+	// published are the values of load.
+	published loadValues
+	ctx       context.Context
+	halt      context.CancelFunc
 
 	mu      sync.Mutex
 	cancels map[jobKey]context.CancelFunc
@@ -72,6 +91,7 @@
 		observer: observer,
 		inbox:    buffer.NewRing[event](inboxSize),
 		done:     buffer.NewRing[event](inboxSize),
+		jobs:     make(chan started),
 		state:    limiter.New(config.Limiter),
 		ctx:      ctx,
 		halt:     halt,
@@ -97,15 +117,14 @@
 }
 
 func (t *target) run() {
-	sweep := t.timers.Every(sweepPeriod)
-	defer sweep.Stop()
+	defer t.stopSweep()
 	for {
 		select {
 		case e := <-t.done.C():
 			t.finish(e)
 		case e := <-t.inbox.C():
 			t.handle(e)
-		case <-sweep.C:
+		case <-t.ticks():
 			t.dropLate()
 		case <-t.ctx.Done():
 			t.shutdown()
@@ -115,6 +134,31 @@
 	}
 }
 
+// ticks returns the channel of the sweep, which never delivers while nothing
+// is queued.
+func (t *target) ticks() <-chan time.Time {
+	if t.sweep == nil {
+		return nil
+	}
+	return t.sweep.C
+}
+
+// startSweep is called when a job is queued. The sweep outlives a short empty
+// queue until its next tick, so that a queue that comes and goes does not
+// replace it each time.
+func (t *target) startSweep() {
+	if t.sweep == nil {
+		t.sweep = t.timers.Every(sweepPeriod)
+	}
+}
+
+func (t *target) stopSweep() {
+	if t.sweep != nil {
+		t.sweep.Stop()
+		t.sweep = nil
+	}
+}
+
 func (t *target) handle(e event) {
 	switch e.kind {
 	case eventSubmit:
@@ -135,6 +179,7 @@
 		t.start(job)
 	case limiter.Queue:
 		t.queue = append(t.queue, job)
+		t.startSweep()
 		t.mu.Lock()
 		t.cancels[keyOf(job)] = func() {}
 		t.mu.Unlock()
@@ -152,16 +197,36 @@
 	if t.observer != nil {
 		t.observer.JobStarted(t.name, job)
 	}
-	started := t.timers.Now()
-	go func() {
-		defer cancel()
-		result := t.client.Do(ctx, job)
-		if t.observer != nil {
-			t.observer.JobEnded(t.name, job, result)
+	run := started{job: job, at: t.timers.Now(), ctx: ctx, cancel: cancel}
+	select {
+	case t.jobs <- run:
+	default:
+		go t.work(run)
+	}
+}
+
+// work runs one job after another until the target stops. A worker that is
+// used again has a stack of the right size, which a new goroutine would have to
+// grow; there are never more of them than the limit has let run at once.
+func (t *target) work(run started) {
+	for {
+		t.do(run)
+		select {
+		case run = <-t.jobs:
+		case <-t.ctx.Done():
+			return
 		}
-		latency := t.timers.Now().Sub(started)
-		t.done.PutWait(context.Background(), event{kind: eventDone, job: job, result: result, latency: latency})
-	}()
+	}
+}
+
+func (t *target) do(run started) {
+	defer run.cancel()
+	result := t.client.Do(run.ctx, run.job)
+	if t.observer != nil {
+		t.observer.JobEnded(t.name, run.job, result)
+	}
+	latency := t.timers.Now().Sub(run.at)
+	t.done.PutWait(context.Background(), event{kind: eventDone, job: run.job, result: result, latency: latency})
 }
 
 func (t *target) finish(e event) {
@@ -245,6 +310,9 @@
 		job.Reply(t.withLoad(refusal(peerpb.FailureKind_FAILURE_DEADLINE)))
 	}
 	t.queue = kept
+	if len(kept) == 0 {
+		t.stopSweep()
+	}
 }
 
 // shutdown refuses what has not started and waits for what runs.
@@ -268,12 +336,19 @@
 	t.client.Close()
 }
 
+// publishLoad replaces the load if it has changed. A published one is never
+// modified, because answers refer to it.
 func (t *target) publishLoad() {
+	next := loadValues{uint32(t.state.InFlight()), uint32(t.state.Queued()), uint32(t.state.Limit()), t.state.Latency()}
+	if t.load.Load() != nil && next == t.published {
+		return
+	}
+	t.published = next
 	t.load.Store(&peerpb.TargetLoad{
-		InFlight:      uint32(t.state.InFlight()),
-		Queued:        uint32(t.state.Queued()),
-		Limit:         uint32(t.state.Limit()),
-		RecentLatency: durationpb.New(t.state.Latency()),
+		InFlight:      next.inFlight,
+		Queued:        next.queued,
+		Limit:         next.limit,
+		RecentLatency: durationpb.New(next.latency),
 	})
 }
 
