--- a/gateway/courier/deployment_test.go
+++ b/failuretests/costs/deployment_test.go
@@ -1,4 +1,4 @@
-package courier_test
+package costs_test
 
 import (
 	"context"
