--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -82,11 +82,13 @@
 
 	loads atomic.Pointer[loads]
 
-	mu      sync.Mutex
-	leaving map[string]time.Time
-	owned   map[netip.AddrPort]*ownedTarget
-	closing map[*pooler.Pool]netip.AddrPort
-	running sync.WaitGroup
+	mu sync.Mutex
+	// loadsVersion counts the snapshots of loads.
+	loadsVersion uint64
+	leaving      map[string]time.Time
+	owned        map[netip.AddrPort]*ownedTarget
+	closing      map[*pooler.Pool]netip.AddrPort
+	running      sync.WaitGroup
 }
 
 // New returns a connector that owns no target.
--- a/relay/forwarder/forwarder.go
+++ b/relay/forwarder/forwarder.go
@@ -21,7 +21,7 @@
 
 // Loads gives the loads of the owned targets of a service.
 type Loads interface {
-	Loads(service string) []*peerpb.NamedLoad
+	Loads(service string) (named []*peerpb.NamedLoad, version uint64)
 }
 
 // Forwarder serves the data streams of gateways.
@@ -49,26 +49,27 @@
 
 // Serve handles the frames of one gateway, of which first has been read.
 func (f *Forwarder) Serve(_ context.Context, peer *peerpb.Hello, stream *messenger.Stream, first *peerpb.Frame) {
+	g := &link{Stream: stream, loads: f.loads, sent: make(map[string]uint64)}
 	frame, err := first, error(nil)
 	for err == nil {
-		f.handle(stream, frame)
+		f.handle(g, frame)
 		frame, err = stream.Receive()
 	}
 	f.log.Debug("data stream ended", zap.String("peer", peer.Node), zap.Error(err))
 }
 
-func (f *Forwarder) handle(stream *messenger.Stream, frame *peerpb.Frame) {
+func (f *Forwarder) handle(g *link, frame *peerpb.Frame) {
 	switch kind := frame.Kind.(type) {
 	case *peerpb.Frame_Batch:
-		f.batch(stream, kind.Batch)
+		f.batch(g, kind.Batch)
 	case *peerpb.Frame_Cancel:
 		f.dispatcher.Cancel(kind.Cancel)
 	case *peerpb.Frame_Execute:
-		f.execute(stream, kind.Execute)
+		f.execute(g, kind.Execute)
 	}
 }
 
-func (f *Forwarder) batch(stream *messenger.Stream, batch *peerpb.Batch) {
+func (f *Forwarder) batch(g *link, batch *peerpb.Batch) {
 	deadline := f.timers.Now().Add(batch.TimeLeft.AsDuration())
 	for _, sub := range batch.Subs {
 		f.submit(&dispatcher.Job{
@@ -86,7 +87,7 @@
 			Fingerprint: batch.Fingerprint,
 			Reply: func(result dispatcher.Result) {
 				defer f.held.Add(-1)
-				f.reply(stream, &peerpb.Frame{Kind: &peerpb.Frame_SubAnswer{SubAnswer: &peerpb.SubAnswer{
+				f.reply(g.Stream, &peerpb.Frame{Kind: &peerpb.Frame_SubAnswer{SubAnswer: &peerpb.SubAnswer{
 					QueryId:  batch.QueryId,
 					Sub:      sub.Sub,
 					Attempt:  sub.Attempt,
@@ -96,14 +97,14 @@
 					Snapshot: result.Snapshot,
 					Shard:    result.Shard,
 					Load:     result.Load,
-					Loads:    f.loads.Loads(sub.Service),
+					Loads:    g.news(sub.Service),
 				}}})
 			},
 		})
 	}
 }
 
-func (f *Forwarder) execute(stream *messenger.Stream, execute *peerpb.Execute) {
+func (f *Forwarder) execute(g *link, execute *peerpb.Execute) {
 	f.submit(&dispatcher.Job{
 		QueryID:     execute.RequestId,
 		Service:     execute.Service,
@@ -114,7 +115,7 @@
 		Execute:     execute,
 		Reply: func(result dispatcher.Result) {
 			defer f.held.Add(-1)
-			f.reply(stream, &peerpb.Frame{Kind: &peerpb.Frame_ExecuteAnswer{ExecuteAnswer: &peerpb.ExecuteAnswer{
+			f.reply(g.Stream, &peerpb.Frame{Kind: &peerpb.Frame_ExecuteAnswer{ExecuteAnswer: &peerpb.ExecuteAnswer{
 				RequestId: execute.RequestId,
 				Outcome:   result.Outcome,
 				Failure:   result.Failure,
