Lower the memory of sessions and targets and the keep-alive traffic

At the size to design towards a node has about 900 session ends. Keep-alive periods grow with the number of sessions, and a relay closes its link to a member that is dead.

--- a/core/dispatcher/target.go
+++ b/core/dispatcher/target.go
@@ -16,7 +16,7 @@
 
 const (
 	// inboxSize bounds the events that wait for a target's goroutine.
-	inboxSize = 1024
+	inboxSize = 256
 	// sweepPeriod is how often a queue is searched for jobs past their deadline.
 	sweepPeriod = 10 * time.Millisecond
 )
--- a/core/messenger/session.go
+++ b/core/messenger/session.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -16,14 +17,20 @@
 const (
 	// handshakeTimeout bounds how long an unauthenticated peer can hold a connection.
 	handshakeTimeout = 3 * time.Second
-	// keepAlivePeriod and writeTimeout together bound how long a connection
-	// that has gone silent stays in use.
-	keepAlivePeriod = 2 * time.Second
-	writeTimeout    = 2 * time.Second
+	// The keep-alive period and writeTimeout together bound how long a connection
+	// that has gone silent stays in use. The period grows with the number of open
+	// sessions, so that a process of a large failure domain, with about 900
+	// sessions, sends some 50 pings a second rather than 450.
+	minKeepAlive        = 2 * time.Second
+	keepAlivePerSession = 100 * time.Millisecond
+	writeTimeout        = 2 * time.Second
 	// ProtocolVersion is the version of the frames that this build writes.
 	ProtocolVersion = 1
 )
 
+// openSessions counts the sessions of this process.
+var openSessions atomic.Int64
+
 // Session joins two processes and carries any number of streams.
 type Session struct {
 	mux  *yamux.Session
@@ -103,6 +110,11 @@
 		conn.Close()
 		return nil, &Error{Op: "open-session", Kind: KindClosed, Err: err}
 	}
+	openSessions.Add(1)
+	go func() {
+		<-session.CloseChan()
+		openSessions.Add(-1)
+	}()
 	return &Session{mux: session, peer: peer}, nil
 }
 
@@ -131,7 +143,7 @@
 func muxConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.LogOutput = io.Discard
-	config.KeepAliveInterval = keepAlivePeriod
+	config.KeepAliveInterval = max(minKeepAlive, time.Duration(openSessions.Load())*keepAlivePerSession)
 	config.ConnectionWriteTimeout = writeTimeout
 	return config
 }
--- a/core/messenger/stream.go
+++ b/core/messenger/stream.go
@@ -19,8 +19,8 @@
 	// above the largest value of the platform's store, so that any document fits.
 	MaxFrameSize = 2 << 20
 	// sendRingSize bounds the frames that wait for a slow peer.
-	sendRingSize = 4096
-	bufferSize   = 16 << 10
+	sendRingSize = 1024
+	bufferSize   = 4 << 10
 )
 
 // Stream carries frames in both directions, in order.
--- a/relay/controller/members.go
+++ b/relay/controller/members.go
@@ -27,6 +27,10 @@
 		if !m.State.Live() {
 			c.config.Publisher.ForgetRelay(m.Node)
 			c.unfollow(m.Node)
+			if m.State == detector.Dead {
+				// A member that left may still answer what it has in flight.
+				c.links.Drop(m.Node)
+			}
 			continue
 		}
 		live = append(live, m.Node)
