--- a/jackdawctl/generator/deployment.go
+++ b/jackdawctl/generator/deployment.go
@@ -42,27 +42,29 @@
 	answering parser.Answering
 }
 
-func answering(deadline time.Duration, coverage float64, priority string, hedges float64) parser.Answering {
+// searchDeadline is the bound for 99 in 100 answers.
+const searchDeadline = 130 * time.Millisecond
+
+// leastCoverage refuses only answers that lack half of the data: a partial
+// answer states what it lacks, and tells an inspector or a member more than a
+// refusal.
+const leastCoverage = 0.5
+
+// hedgeBudget is the ceiling of the tier.
+const hedgeBudget = 0.05
+
+func answering(priority string) parser.Answering {
 	return parser.Answering{
 		Lead:            setOld,
-		Deadline:        parser.Duration(deadline),
-		MinimumCoverage: coverage,
+		Deadline:        parser.Duration(searchDeadline),
+		MinimumCoverage: leastCoverage,
 		Priority:        priority,
-		HedgeBudget:     hedges,
+		HedgeBudget:     hedgeBudget,
 	}
 }
 
-const (
-	// searchDeadline is the bound for 99 in 100 answers.
-	searchDeadline  = 130 * time.Millisecond
-	executeDeadline = 2 * time.Second
-	noHedges        = 0
-	fewHedges       = 0.03
-	mostHedges      = 0.05
-)
-
 // deployments are at the sizes of today. Kinds that run non-idempotent
-// requests have one set and no hedges.
+// requests have one set.
 var deployments = []deployment{
 	{
 		name: "litoral", domains: []string{"rosario", "santa-fe", "parana"}, nodes: 3,
@@ -70,19 +72,19 @@
 		kinds: []kind{
 			{
 				name: "registro-campo", services: 10, targets: 3, slots: 2, connections: 25, connectTime: 6 * time.Millisecond,
-				moves: true, answering: answering(searchDeadline, 0.9, parser.PriorityHigh, mostHedges),
+				moves: true, answering: answering(parser.PriorityHigh),
 			},
 			{
 				name: "agenda", services: 15, targets: 3, slots: 2, connections: 25, connectTime: 6 * time.Millisecond,
-				moves: true, answering: answering(searchDeadline, 0.9, parser.PriorityNormal, mostHedges),
+				moves: true, answering: answering(parser.PriorityNormal),
 			},
 			{
 				name: "certificados", targets: 5, slots: 4, connections: 110, connectTime: time.Millisecond,
-				answering: answering(executeDeadline, 1, parser.PriorityHigh, noHedges),
+				answering: answering(parser.PriorityHigh),
 			},
 			{
 				name: "municipios", targets: 3, slots: 4, connections: 110, connectTime: time.Millisecond,
-				moves: true, answering: answering(searchDeadline, 0.9, parser.PriorityLow, fewHedges),
+				moves: true, answering: answering(parser.PriorityLow),
 			},
 		},
 	},
@@ -92,19 +94,19 @@
 		kinds: []kind{
 			{
 				name: "trackfinder", services: 10, targets: 3, slots: 3, connections: 30, connectTime: 6 * time.Millisecond,
-				moves: true, answering: answering(searchDeadline, 0.99, parser.PriorityNormal, fewHedges),
+				moves: true, answering: answering(parser.PriorityNormal),
 			},
 			{
 				name: "hutbook", services: 15, targets: 3, slots: 3, connections: 30, connectTime: 6 * time.Millisecond,
-				moves: true, answering: answering(searchDeadline, 0.99, parser.PriorityHigh, fewHedges),
+				moves: true, answering: answering(parser.PriorityHigh),
 			},
 			{
 				name: "sheetshelf", targets: 10, slots: 4, connections: 45, connectTime: time.Millisecond,
-				moves: true, answering: answering(searchDeadline, 0.99, parser.PriorityNormal, fewHedges),
+				moves: true, answering: answering(parser.PriorityNormal),
 			},
 			{
 				name: "memberroll", targets: 5, slots: 4, connections: 45, connectTime: time.Millisecond,
-				answering: answering(executeDeadline, 1, parser.PriorityLow, noHedges),
+				answering: answering(parser.PriorityLow),
 			},
 		},
 	},
@@ -114,7 +116,7 @@
 		platformPort: 7090, nodePort: 7100, targetPort: 7300,
 		kinds: []kind{{
 			name: "library", targets: 12, slots: 4, connections: 45, connectTime: time.Millisecond,
-			answering: answering(searchDeadline, 0.9, parser.PriorityNormal, mostHedges),
+			answering: answering(parser.PriorityNormal),
 		}},
 	},
 }
