--- a/failuretests/costs/deployment_test.go
+++ b/failuretests/costs/deployment_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/acceptor"
@@ -54,7 +55,7 @@
 	inspect := inspector.New(1, timers, publish, log)
 	dispatch := dispatcher.New(timers, inspect)
 	connect := connector.New(relayName, 1, timers, dispatch, publish, tracer.Disabled(), log)
-	forward := forwarder.New(timers, dispatch, inspect, connect, 1<<20, log)
+	forward := forwarder.New(timers, dispatch, inspect, connect, 1<<20, tally.NoopScope, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	listener, err := acceptor.Listen(ctx, netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
--- a/relay/forwarder/forwarder.go
+++ b/relay/forwarder/forwarder.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/dispatcher"
@@ -31,14 +33,15 @@
 	quarantine Quarantine
 	loads      Loads
 	maximum    int64
+	ended      map[peerpb.FailureKind]tally.Counter
 	log        *zap.Logger
 	held       atomic.Int64
 	refusing   atomic.Bool
 }
 
 // New returns a forwarder that holds at most maximum sub-requests at once.
-func New(timers *timer.Service, d *dispatcher.Dispatcher, quarantine Quarantine, loads Loads, maximum int, log *zap.Logger) *Forwarder {
-	return &Forwarder{timers: timers, dispatcher: d, quarantine: quarantine, loads: loads, maximum: int64(maximum), log: log}
+func New(timers *timer.Service, d *dispatcher.Dispatcher, quarantine Quarantine, loads Loads, maximum int, metrics tally.Scope, log *zap.Logger) *Forwarder {
+	return &Forwarder{timers: timers, dispatcher: d, quarantine: quarantine, loads: loads, maximum: int64(maximum), ended: endedCounters(metrics), log: log}
 }
 
 // Held returns the number of requests that have not been answered.
@@ -86,7 +89,7 @@
 			Traceparent: batch.Traceparent,
 			Fingerprint: batch.Fingerprint,
 			Reply: func(result dispatcher.Result) {
-				defer f.held.Add(-1)
+				defer f.end(result)
 				f.reply(g.Stream, &peerpb.Frame{Kind: &peerpb.Frame_SubAnswer{SubAnswer: &peerpb.SubAnswer{
 					QueryId:  batch.QueryId,
 					Sub:      sub.Sub,
@@ -114,7 +117,7 @@
 		Fingerprint: execute.Fingerprint,
 		Execute:     execute,
 		Reply: func(result dispatcher.Result) {
-			defer f.held.Add(-1)
+			defer f.end(result)
 			f.reply(g.Stream, &peerpb.Frame{Kind: &peerpb.Frame_ExecuteAnswer{ExecuteAnswer: &peerpb.ExecuteAnswer{
 				RequestId: execute.RequestId,
 				Outcome:   result.Outcome,
@@ -139,6 +142,23 @@
 	}
 }
 
+func (f *Forwarder) end(result dispatcher.Result) {
+	f.held.Add(-1)
+	if counter, ok := f.ended[result.Failure]; ok {
+		counter.Inc(1)
+	}
+}
+
+// endedCounters returns a counter for each way in which a request can end.
+func endedCounters(metrics tally.Scope) map[peerpb.FailureKind]tally.Counter {
+	counters := make(map[peerpb.FailureKind]tally.Counter, len(peerpb.FailureKind_name))
+	for number, name := range peerpb.FailureKind_name {
+		failure := strings.ToLower(strings.TrimPrefix(name, "FAILURE_"))
+		counters[peerpb.FailureKind(number)] = metrics.Tagged(map[string]string{"failure": failure}).Counter("requests")
+	}
+	return counters
+}
+
 func (f *Forwarder) reply(stream *messenger.Stream, frame *peerpb.Frame) {
 	if err := stream.Send(frame); err != nil {
 		f.log.Debug("answer dropped", zap.Error(err))
--- a/relay/runner/assemble.go
+++ b/relay/runner/assemble.go
@@ -33,6 +33,7 @@
 	hello    *peerpb.Hello
 	spans    *tracer.Tracer
 	metrics  *meter.Meter
+	timers   *timer.Service
 	peers    *messenger.Peers
 	publish  *publisher.Publisher
 	inspect  *inspector.Inspector
@@ -60,10 +61,11 @@
 		publish: publisher.New(settings.Node),
 	}
 	timers, incarnation := timer.NewService(), r.hello.Incarnation
+	r.timers = timers
 	r.inspect = inspector.New(incarnation, timers, r.publish, r.log)
 	r.dispatch = dispatcher.New(timers, r.inspect)
 	r.connect = connector.New(settings.Node, incarnation, timers, r.dispatch, r.publish, spans, r.log)
-	r.forward = forwarder.New(timers, r.dispatch, r.inspect, r.connect, settings.MaxSubRequests, r.log)
+	r.forward = forwarder.New(timers, r.dispatch, r.inspect, r.connect, settings.MaxSubRequests, r.metrics.Scope, r.log)
 	r.peers = messenger.NewPeers(keys, r.hello)
 	r.control = controller.New(controller.Config{
 		Settings: settings, Incarnation: incarnation, Version: version, Timers: timers,
--- a/relay/runner/run.go
+++ b/relay/runner/run.go
@@ -16,6 +16,8 @@
 	process      = "relay"
 	storeTimeout = 2 * time.Second
 	drainPeriod  = 10 * time.Millisecond
+	// measurePeriod is how often gauges are updated.
+	measurePeriod = time.Second
 	// flushTime is how long queued answers may take to be written at a stop.
 	flushTime = 100 * time.Millisecond
 )
@@ -45,6 +47,7 @@
 	go r.inspect.Run(work)
 	go r.control.Run(work)
 	go accept.Run(work, listener)
+	go r.measure(work)
 	<-ctx.Done()
 	r.drain()
 	r.connect.Close()
@@ -55,6 +58,25 @@
 	return errors.Join(r.admin.Close(), r.metrics.Close(), r.spans.Shutdown(context.WithoutCancel(ctx)))
 }
 
+// measure keeps the gauges of the relay until the context ends.
+func (r *relay) measure(ctx context.Context) {
+	held := r.metrics.Scope.Gauge("held_requests")
+	owned := r.metrics.Scope.Gauge("owned_targets")
+	quarantined := r.metrics.Scope.Gauge("quarantined_requests")
+	ticks := r.timers.Every(measurePeriod)
+	defer ticks.Stop()
+	for {
+		held.Update(float64(r.forward.Held()))
+		owned.Update(float64(r.connect.Owned()))
+		quarantined.Update(float64(len(r.inspect.Entries())))
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // drain tells the peers that this relay leaves, works on until they have had
 // time to hear, and ends what is in flight.
 func (r *relay) drain() {
