--- a/core/detector/detector_test.go
+++ b/core/detector/detector_test.go
@@ -282,9 +282,6 @@
 // At full size every view must agree soon after a start, a crash and a leave,
 // and each message must stay small.
 func TestFullSizeDomain(t *testing.T) {
-	if testing.Short() {
-		t.Skip("several seconds")
-	}
 	d := newDomain(289, 4)
 	d.advance(30 * time.Second)
 	d.checkAgreed(t)
--- a/core/evaluator/measure_test.go
+++ b/core/evaluator/measure_test.go
@@ -62,7 +62,8 @@
 func TestMeasure(t *testing.T) {
 	path := os.Getenv(measureVariable)
 	if path == "" {
-		t.Skipf("%s is not set", measureVariable)
+		t.Logf("%s is not set, nothing is written", measureVariable)
+		return
 	}
 	list := workloads()
 	tables := make([]bytes.Buffer, len(list))
--- a/core/evaluator/plot_test.go
+++ b/core/evaluator/plot_test.go
@@ -21,7 +21,8 @@
 func TestPlot(t *testing.T) {
 	directory := os.Getenv(plotVariable)
 	if directory == "" {
-		t.Skipf("%s is not set", plotVariable)
+		t.Logf("%s is not set, nothing is drawn", plotVariable)
+		return
 	}
 	registro := evaluator.Litoral().Select("registro-campo")
 	draw(t, filepath.Join(directory, "policy-healthy.svg"), evaluator.Healthy(registro, seed))
