Send to the members in one place; drop counters that nothing reads

The loop over live members stood in sendToAll and tellLeaving. The pool counted opened and silent connections without a reader. No behaviour changes.

--- a/core/pooler/guard.go
+++ b/core/pooler/guard.go
@@ -66,7 +66,6 @@
 		return
 	}
 	g.silent = true
-	g.pool.silent.Add(1)
 	g.cancel()
 }
 
--- a/core/pooler/pool.go
+++ b/core/pooler/pool.go
@@ -132,8 +132,6 @@
 	single  *http.Transport
 	answers atomic.Int64
 	latency atomic.Int64
-	silent  atomic.Int64
-	opened  atomic.Int64
 	refused atomic.Int64
 }
 
@@ -166,7 +164,6 @@
 	if err := p.gate.acquire(ctx, reserve); err != nil {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 	}
-	p.opened.Add(1)
 	conn, err := dialer.DialContext(ctx, network, addr)
 	if err != nil {
 		p.gate.release()
@@ -191,16 +188,10 @@
 // Open returns the number of open connections.
 func (p *Pool) Open() int { return p.gate.count() }
 
-// Opened returns the number of connections that have been opened.
-func (p *Pool) Opened() int64 { return p.opened.Load() }
-
 // Refused returns the number of new connections that the target closed before
 // it answered anything, as it does above its limit.
 func (p *Pool) Refused() int64 { return p.refused.Load() }
 
-// Silent returns the number of connections found silent.
-func (p *Pool) Silent() int64 { return p.silent.Load() }
-
 // Close closes the idle connections; running requests end first.
 func (p *Pool) Close() {
 	p.pooled.CloseIdleConnections()
--- a/relay/controller/controller.go
+++ b/relay/controller/controller.go
@@ -188,12 +188,17 @@
 	c.do(func(time.Time) { c.sendToAll(frame) })
 }
 
-func (c *Controller) sendToAll(frame *peerpb.Frame) {
+// sendToMembers sends a frame to the live relays of the failure domain.
+func (c *Controller) sendToMembers(frame *peerpb.Frame) {
 	for _, m := range c.detector.Members() {
 		if m.State.Live() && m.Node != c.config.Settings.Node {
 			c.send(m.Node, m.RelayAddress, frame)
 		}
 	}
+}
+
+func (c *Controller) sendToAll(frame *peerpb.Frame) {
+	c.sendToMembers(frame)
 	for node := range c.neighbours {
 		c.send(node, c.addresses[node], frame)
 	}
--- a/relay/controller/store.go
+++ b/relay/controller/store.go
@@ -117,10 +117,5 @@
 		return
 	}
 	c.toldLeaving, c.toldAt = leaving, now
-	frame := &peerpb.Frame{Kind: &peerpb.Frame_LeavingVms{LeavingVms: leaving}}
-	for _, m := range c.detector.Members() {
-		if m.State.Live() && m.Node != c.config.Settings.Node {
-			c.send(m.Node, m.RelayAddress, frame)
-		}
-	}
+	c.sendToMembers(&peerpb.Frame{Kind: &peerpb.Frame_LeavingVms{LeavingVms: leaving}})
 }
