--- a/gateway/responder/query.go
+++ b/gateway/responder/query.go
@@ -128,16 +128,15 @@
 
 func (r *Responder) record(planned *scatterer.Request, answer *scatterer.Answer, latency time.Duration) {
 	r.latency.RecordDuration(latency)
-	scope := r.config.Metrics
-	scope.Counter("queries").Inc(1)
-	scope.Counter("sub_requests").Inc(int64(answer.Stats.Subs))
-	scope.Counter("hedges").Inc(int64(answer.Stats.Hedges))
-	scope.Counter("retries").Inc(int64(answer.Stats.Retries))
-	scope.Counter("restarts").Inc(int64(answer.Stats.Restarts))
+	r.counters.queries.Inc(1)
+	r.counters.subRequests.Inc(int64(answer.Stats.Subs))
+	r.counters.hedges.Inc(int64(answer.Stats.Hedges))
+	r.counters.retries.Inc(int64(answer.Stats.Retries))
+	r.counters.restarts.Inc(int64(answer.Stats.Restarts))
 	if answer.Complete {
 		return
 	}
-	scope.Counter("partial").Inc(1)
+	r.counters.partial.Inc(1)
 	r.config.Log.Info("partial answer",
 		zap.String("query-id", answer.QueryID),
 		zap.Int("services", len(planned.Services)),
--- a/gateway/responder/responder.go
+++ b/gateway/responder/responder.go
@@ -43,11 +43,28 @@
 	TicketExpiry time.Duration
 }
 
+// queryCounters are looked up once, because a lookup by name takes a lock.
+type queryCounters struct {
+	queries, subRequests, hedges, retries, restarts, partial tally.Counter
+}
+
+func newQueryCounters(metrics tally.Scope) queryCounters {
+	return queryCounters{
+		queries:     metrics.Counter("queries"),
+		subRequests: metrics.Counter("sub_requests"),
+		hedges:      metrics.Counter("hedges"),
+		retries:     metrics.Counter("retries"),
+		restarts:    metrics.Counter("restarts"),
+		partial:     metrics.Counter("partial"),
+	}
+}
+
 // Responder handles the operations of the callers' interface.
 type Responder struct {
 	config   Config
 	errors   tally.Scope
 	latency  tally.Histogram
+	counters queryCounters
 	leaving  atomic.Bool
 	stopping atomic.Bool
 	live     atomic.Int64
@@ -65,6 +82,7 @@
 		config:   config,
 		errors:   config.Metrics.SubScope("refusals"),
 		latency:  config.Metrics.Histogram("query_latency", meter.LatencyBuckets),
+		counters: newQueryCounters(config.Metrics),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		admitter: admitter.New(limits),
 	}
