Serve callers on the foundation platform with one process on each VM

The platform's formats and calls stand in platform/; routing, registrations, placing and the course of a request are new parts of core; entry is the program.

--- a/core/hedger/hedger.go
+++ b/core/hedger/hedger.go
@@ -69,6 +69,12 @@
 // SetBudget changes the share of sub-requests that may be sent again.
 func (s *State) SetBudget(share float64) { s.config.Budget = share }
 
+// SetBurst changes the most hedges that an unused budget allows at once.
+func (s *State) SetBurst(burst float64) {
+	s.config.Burst = burst
+	s.tokens = min(s.tokens, burst)
+}
+
 // Observe takes the latency of a sub-request into account.
 func (s *State) Observe(now time.Time, latency time.Duration) {
 	s.rotate(now)
--- a/core/loader/load.go
+++ b/core/loader/load.go
@@ -2,12 +2,10 @@
 
 import (
 	_ "embed" // for the schema
-	"encoding/json"
 	"io"
 	"net/url"
 	"os"
 	"path/filepath"
-	"reflect"
 	"strconv"
 	"time"
 
@@ -57,7 +55,7 @@
 	}
 	problems = append(problems, schema.Check(source)...)
 	settings := Defaults()
-	if err := decode(source.Standard(), &settings); err != nil {
+	if err := validator.Decode(source.Standard(), &settings); err != nil {
 		problems = problems.AddNew(validator.Problems{source.Problem("", err.Error())})
 	}
 	problems = problems.AddNew(checkMeaning(source, &settings, program))
@@ -68,42 +66,6 @@
 	return &settings, nil
 }
 
-// decode reads standard JSON. It turns durations from strings into numbers
-// first, as encoding/json reads a time.Duration only from a number.
-func decode(standard []byte, settings *Settings) error {
-	fields := make(map[string]json.RawMessage)
-	if err := json.Unmarshal(standard, &fields); err != nil {
-		return err
-	}
-	table := reflect.TypeFor[Settings]()
-	for i := range table.NumField() {
-		name := table.Field(i).Tag.Get("json")
-		raw, given := fields[name]
-		if !given || table.Field(i).Type != reflect.TypeFor[time.Duration]() {
-			continue
-		}
-		if string(raw) == "null" {
-			continue
-		}
-		var text string
-		if err := json.Unmarshal(raw, &text); err != nil {
-			return err
-		}
-		duration, err := time.ParseDuration(text)
-		if err != nil {
-			return err
-		}
-		if fields[name], err = json.Marshal(duration); err != nil {
-			return err
-		}
-	}
-	numeric, err := json.Marshal(fields)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(numeric, settings)
-}
-
 // checkMeaning finds the mistakes that the schema cannot express.
 func checkMeaning(source *validator.Source, s *Settings, program Program) validator.Problems {
 	var problems validator.Problems
--- /dev/null
+++ b/core/merger/records.go
@@ -0,0 +1,26 @@
+package merger
+
+import (
+	"bytes"
+	"slices"
+)
+
+// RecordSize is the length of a fixed-size record in bytes.
+const RecordSize = 16
+
+// Records returns the greatest records of several parts, at most limit of
+// them, greatest first. Equal records all count; a shorter rest of a part is
+// no record.
+func Records(parts [][]byte, limit int) []byte {
+	var all [][]byte
+	for _, part := range parts {
+		for ; len(part) >= RecordSize; part = part[RecordSize:] {
+			all = append(all, part[:RecordSize])
+		}
+	}
+	slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+	if len(all) > limit {
+		all = all[:limit]
+	}
+	return bytes.Join(all, nil)
+}
--- /dev/null
+++ b/core/placer/config.go
@@ -0,0 +1,66 @@
+// Package placer puts sub-requests on replicas: it knows what is in flight at
+// each target, notices targets that have gone silent, and keeps the budget of
+// repeated work of each service.
+package placer
+
+import (
+	"time"
+
+	"jackdawcart.org/core/hedger"
+	"jackdawcart.org/core/selector"
+)
+
+// Config holds the constants of placing.
+type Config struct {
+	// Selector is the configuration of the choice between replicas.
+	Selector selector.Config
+	// Hedger is the configuration of the delay before work is sent again.
+	Hedger hedger.Config
+	// SilentFactor is the multiple of a target's usual latency without any sign
+	// of life after which it counts as silent.
+	SilentFactor float64
+	// SilentFloor is the shortest silence that counts. Below it the scheduling
+	// of the own process looks like silence.
+	SilentFloor time.Duration
+	// DelayShare bounds the delay of a hedge as a share of the aim, so that the
+	// second answer can still be in time.
+	DelayShare float64
+	// BudgetShare is the part of the allowed ratio of repeated work that is
+	// used; the rest covers the difference between the windows of the judge and
+	// of the process.
+	BudgetShare float64
+	// ConnectionShare is the part of a target's connections that the entry VMs
+	// use together; the rest covers views of their number that differ.
+	ConnectionShare float64
+}
+
+// DefaultConfig returns the constants used in production.
+func DefaultConfig() Config {
+	choice := selector.DefaultConfig()
+	// Bytes between failure domains are priced, so a near replica is used until
+	// it is clearly slower.
+	choice.RemotePenalty = 1.6
+	choice.LatencyLife = time.Second
+	delay := hedger.DefaultConfig()
+	delay.Quantile = 95
+	return Config{
+		Selector:        choice,
+		Hedger:          delay,
+		SilentFactor:    2.5,
+		SilentFloor:     8 * time.Millisecond,
+		DelayShare:      0.3,
+		BudgetShare:     0.8,
+		ConnectionShare: 0.85,
+	}
+}
+
+// Limits are the bounds that the tier shares between its entry VMs.
+type Limits struct {
+	// RepeatRatio is the share of a service's requests that may be sent again.
+	RepeatRatio float64
+	// RepeatExtra is the number of requests that may be sent again besides, in
+	// each window and over all entry VMs.
+	RepeatExtra float64
+	// EntryVMs is the number of entry VMs that share the bounds.
+	EntryVMs int
+}
--- /dev/null
+++ b/core/placer/placer.go
@@ -0,0 +1,316 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"jackdawcart.org/core/hedger"
+	"jackdawcart.org/core/registrar"
+	"jackdawcart.org/core/selector"
+)
+
+// Result is how a sub-request at a target ended.
+type Result int
+
+// Results.
+const (
+	// Answered is a good answer.
+	Answered Result = iota
+	// Refused says that the target did not run the request.
+	Refused
+	// Failed is an answer that reports a failure, or one that cannot be read.
+	Failed
+	// Lost says that no answer came although the request may have run.
+	Lost
+	// Unsent says that no byte of the request reached the target.
+	Unsent
+	// Abandoned says that the answer was no longer wanted.
+	Abandoned
+)
+
+var resultNames = [...]string{"answered", "refused", "failed", "lost", "unsent", "abandoned"}
+
+// String returns the name of the result for logs.
+func (r Result) String() string { return resultNames[r] }
+
+// Placement is a sub-request at a target.
+type Placement struct {
+	Record  registrar.Record
+	Started time.Time
+	factor  float64
+	target  *target
+}
+
+// Placer decides for one process. It is safe for concurrent use.
+type Placer struct {
+	config Config
+	domain string
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	limits   Limits
+	services map[string]*service
+	targets  map[string]*target
+	delays   map[string]*hedger.State
+}
+
+type service struct {
+	choice *selector.State
+	budget *hedger.State
+	// fullUntil is when a target that refused for want of room may have some.
+	fullUntil map[string]time.Time
+}
+
+// target is what is in flight at one target.
+type target struct {
+	inFlight int
+	capacity int
+	// alive is the last answer, or the first sending after idleness.
+	alive time.Time
+	usual time.Duration
+}
+
+// New returns a placer of a process in the given failure domain.
+func New(config Config, domain string, rng *rand.Rand) *Placer {
+	return &Placer{
+		config:   config,
+		domain:   domain,
+		rng:      rng,
+		limits:   Limits{EntryVMs: 1},
+		services: make(map[string]*service),
+		targets:  make(map[string]*target),
+		delays:   make(map[string]*hedger.State),
+	}
+}
+
+// SetLimits changes the bounds that are shared between the entry VMs.
+func (p *Placer) SetLimits(limits Limits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits = limits
+	p.limits.EntryVMs = max(limits.EntryVMs, 1)
+	for _, s := range p.services {
+		p.setBudget(s.budget)
+	}
+}
+
+func (p *Placer) setBudget(budget *hedger.State) {
+	budget.SetBudget(p.limits.RepeatRatio * p.config.BudgetShare)
+	budget.SetBurst(max(p.config.BudgetShare*p.limits.RepeatExtra/float64(p.limits.EntryVMs), 1))
+}
+
+// Connections returns how many connections this process may hold to a target
+// whose service allows the given number over all callers.
+func (p *Placer) Connections(allowed int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connections(allowed)
+}
+
+func (p *Placer) connections(allowed int) int {
+	share := p.config.ConnectionShare * float64(allowed) / float64(p.limits.EntryVMs)
+	return max(int(share), 1)
+}
+
+// Request describes a sub-request that is to be placed.
+type Request struct {
+	Service string
+	// Targets may take the request.
+	Targets []registrar.Record
+	// MaxConnections is what the service allows over all callers.
+	MaxConnections int
+	// Avoid holds the identities of targets that were tried.
+	Avoid []string
+	// Again is true if the request was sent to a target of the service before.
+	Again bool
+	// Free is true for a repeat that the shared budget does not count, as no
+	// byte of the earlier one arrived.
+	Free bool
+}
+
+// Place chooses a target and counts the sub-request as in flight there. It
+// returns false if no target may take it or the budget of repeats is used up.
+func (p *Placer) Place(now time.Time, r Request) (Placement, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(r.Service)
+	i, ok := p.choose(now, s, r)
+	if !ok {
+		return Placement{}, false
+	}
+	if !r.Again {
+		s.budget.Deposit(1)
+	} else if !r.Free && !s.budget.Withdraw() {
+		return Placement{}, false
+	}
+	record := r.Targets[i]
+	t := p.target(record.ID)
+	t.capacity = p.connections(r.MaxConnections)
+	if t.inFlight == 0 {
+		t.alive = now
+	}
+	t.inFlight++
+	factor := s.choice.Started(now, p.candidate(record), "")
+	return Placement{Record: record, Started: now, factor: factor, target: t}, true
+}
+
+func (p *Placer) choose(now time.Time, s *service, r Request) (int, bool) {
+	candidates := make([]selector.Candidate, len(r.Targets))
+	for i, record := range r.Targets {
+		candidates[i] = p.candidate(record)
+	}
+	tried := func(id string) bool {
+		for _, avoided := range r.Avoid {
+			if avoided == id {
+				return true
+			}
+		}
+		return false
+	}
+	unfit := func(id string) bool {
+		return tried(id) || p.silent(now, p.target(id)) || p.busy(id) || now.Before(s.fullUntil[id])
+	}
+	if i, ok := s.choice.Pick(now, p.rng, candidates, unfit); ok {
+		return i, true
+	}
+	if r.Again && !r.Free {
+		// A repeat at a target that is silent or full would only add load.
+		return 0, false
+	}
+	return s.choice.Pick(now, p.rng, candidates, tried)
+}
+
+func (p *Placer) candidate(record registrar.Record) selector.Candidate {
+	since := record.ColdUntil.Add(-p.config.Selector.Ramp)
+	return selector.Candidate{
+		Target: record.ID,
+		Local:  record.Domain == p.domain,
+		Since:  since,
+		Slots:  record.Slots,
+	}
+}
+
+// busy reports whether every connection that this process may hold to the
+// target is in use.
+func (p *Placer) busy(id string) bool {
+	t := p.target(id)
+	return t.capacity > 0 && t.inFlight >= t.capacity
+}
+
+// silent reports whether a target has work of this process and has shown no
+// sign of life for several times its usual latency. Targets pause for a moment
+// now and then; the pause is over when one of the waiting answers arrives.
+func (p *Placer) silent(now time.Time, t *target) bool {
+	return t.inFlight > 0 && !now.Before(p.silentAt(t))
+}
+
+func (p *Placer) silentAt(t *target) time.Time {
+	patience := time.Duration(p.config.SilentFactor * float64(t.usual))
+	return t.alive.Add(max(patience, p.config.SilentFloor))
+}
+
+// HedgeAt returns when the sub-request should be sent to another target as
+// well if no answer has arrived: at the delay of its route, or when its target
+// has gone silent.
+func (p *Placer) HedgeAt(route string, aim time.Duration, placed Placement) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delay := p.delay(route, aim).Delay()
+	if bound := time.Duration(p.config.DelayShare * float64(aim)); delay > bound {
+		delay = bound
+	}
+	at := placed.Started.Add(delay)
+	if silent := p.silentAt(placed.target); placed.target.usual > 0 && silent.Before(at) {
+		at = silent
+	}
+	return at
+}
+
+// Ended takes the end of a sub-request into account.
+func (p *Placer) Ended(now time.Time, route string, aim time.Duration, placed Placement, result Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(placed.Record.Service)
+	t, id := placed.target, placed.Record.ID
+	t.inFlight--
+	latency := now.Sub(placed.Started)
+	switch result {
+	case Answered:
+		t.alive = now
+		t.observe(latency)
+		s.choice.Succeeded(now, id, latency, placed.factor)
+		p.delay(route, aim).Observe(now, latency)
+		delete(s.fullUntil, id)
+	case Refused:
+		t.alive = now
+		s.choice.Released(id)
+		s.fullUntil[id] = now.Add(max(t.usual, p.config.SilentFloor))
+	case Failed, Lost, Unsent:
+		s.choice.Failed(now, id)
+	case Abandoned:
+		s.choice.Cancelled(now, id, latency, placed.factor)
+	}
+}
+
+// usualWeight is the weight of an answer in a target's usual latency: about
+// ten answers, so that one long request does not change it much.
+const usualWeight = 0.1
+
+func (t *target) observe(latency time.Duration) {
+	if t.usual == 0 {
+		t.usual = latency
+		return
+	}
+	// A pause must not make the next pause look usual.
+	latency = min(latency, 4*t.usual)
+	t.usual = time.Duration(usualWeight*float64(latency) + (1-usualWeight)*float64(t.usual))
+}
+
+func (p *Placer) service(name string) *service {
+	s, ok := p.services[name]
+	if !ok {
+		s = &service{
+			choice:    selector.New(p.config.Selector),
+			budget:    hedger.New(p.config.Hedger),
+			fullUntil: make(map[string]time.Time),
+		}
+		p.setBudget(s.budget)
+		p.services[name] = s
+	}
+	return s
+}
+
+func (p *Placer) target(id string) *target {
+	t, ok := p.targets[id]
+	if !ok {
+		t = &target{}
+		p.targets[id] = t
+	}
+	return t
+}
+
+// delay returns the latencies of a route. Until enough are known, a hedge waits
+// for a share of the aim.
+func (p *Placer) delay(route string, aim time.Duration) *hedger.State {
+	d, ok := p.delays[route]
+	if !ok {
+		config := p.config.Hedger
+		config.InitialDelay = time.Duration(p.config.DelayShare * float64(aim))
+		d = hedger.New(config)
+		p.delays[route] = d
+	}
+	return d
+}
+
+// Forget drops what is known of a target that has left, and of its successor
+// under the same identity.
+func (p *Placer) Forget(service, id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.targets, id)
+	if s, ok := p.services[service]; ok {
+		s.choice.Retain(func(target string) bool { return target != id })
+		delete(s.fullUntil, id)
+	}
+}
--- /dev/null
+++ b/entry/configurer/settings.go
@@ -0,0 +1,88 @@
+// Package configurer reads the project's own settings of an entry VM.
+package configurer
+
+import (
+	_ "embed" // for the schema
+	"fmt"
+	"os"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"jackdawcart.org/core/validator"
+)
+
+// maxFileBytes bounds the settings file.
+const maxFileBytes = 1 << 20
+
+//go:embed settings.schema.json
+var schemaText []byte
+
+var schema = validator.MustCompile("settings.schema.json", schemaText)
+
+// Settings are those that the platform does not know.
+type Settings struct {
+	LogLevel zapcore.Level `json:"log-level"`
+	// MetricsPort counts from the first port between VMs.
+	MetricsPort int `json:"metrics-port"`
+	// TraceEndpoint is where spans go; none are kept without one.
+	TraceEndpoint string  `json:"trace-endpoint"`
+	TraceShare    float64 `json:"trace-share"`
+	// StoreTimeout bounds a call to the platform's store.
+	StoreTimeout time.Duration `json:"store-timeout"`
+	// CallerTime is the part of an aim that the way to the caller takes.
+	CallerTime time.Duration `json:"caller-time"`
+}
+
+// Defaults returns the settings that apply where the file gives no value.
+func Defaults() Settings {
+	return Settings{
+		LogLevel:     zapcore.InfoLevel,
+		MetricsPort:  1,
+		TraceShare:   0.001,
+		StoreTimeout: time.Second,
+		CallerTime:   9 * time.Millisecond,
+	}
+}
+
+// Error is the error type of this package.
+type Error struct {
+	Op  string
+	Err error
+}
+
+// Error returns the message, prefixed with its origin.
+func (e *Error) Error() string { return fmt.Sprintf("configurer: %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Load reads and checks the file at path; an empty path gives the defaults.
+func Load(path string) (Settings, error) {
+	if path == "" {
+		return Defaults(), nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &Error{Op: "load", Err: err}
+	}
+	return Parse(path, text)
+}
+
+// Parse reads and checks the text of a settings file.
+func Parse(file string, text []byte) (Settings, error) {
+	source, problems := validator.Parse(file, text, maxFileBytes)
+	if source == nil {
+		return Settings{}, &Error{Op: "parse", Err: problems}
+	}
+	problems = append(problems, schema.Check(source)...)
+	settings := Defaults()
+	if err := validator.Decode(source.Standard(), &settings); err != nil {
+		problems = problems.AddNew(validator.Problems{source.Problem("", err.Error())})
+	}
+	if len(problems) > 0 {
+		problems.Sort()
+		return Settings{}, &Error{Op: "parse", Err: problems}
+	}
+	return settings, nil
+}
--- /dev/null
+++ b/entry/courier/pool.go
@@ -0,0 +1,224 @@
+package courier
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"jackdawcart.org/core/placer"
+)
+
+// Dialer opens connections to targets.
+type Dialer func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
+// keepShare is the part of the time for which a target keeps an idle
+// connection that it is used, so that no request crosses the target's close.
+const keepShare = 0.7
+
+// dialTimeout bounds the opening of a connection. A target that takes longer is
+// out of reach.
+const dialTimeout = time.Second
+
+// Pool holds the connections to one target.
+type Pool struct {
+	dial    Dialer
+	count   func(event string)
+	address netip.AddrPort
+
+	mu      sync.Mutex
+	limit   int
+	closed  bool
+	total   int
+	dialing int
+	idle    []*connection
+	queue   []*Exchange
+}
+
+func newPool(dial Dialer, count func(string), address netip.AddrPort, limit int) *Pool {
+	return &Pool{dial: dial, count: count, address: address, limit: max(limit, 1)}
+}
+
+func (p *Pool) setLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = max(limit, 1)
+}
+
+// Send carries a job; done is called exactly once, from another goroutine or
+// from this call.
+func (p *Pool) Send(now time.Time, job Job, done func(Reply)) *Exchange {
+	e := &Exchange{job: job, pool: p, done: done}
+	p.mu.Lock()
+	if p.closed {
+		e.state = ended
+		p.mu.Unlock()
+		done(Reply{Result: placer.Unsent, Err: errRetired})
+		return e
+	}
+	if c := p.takeIdle(now); c != nil {
+		p.assign(now, c, e)
+		p.mu.Unlock()
+		c.write(e)
+		return e
+	}
+	p.queue = append(p.queue, e)
+	p.dialIfNeeded()
+	p.mu.Unlock()
+	return e
+}
+
+// Warm opens a connection if there is none.
+func (p *Pool) Warm() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed && p.total == 0 {
+		p.startDial()
+	}
+}
+
+// takeIdle returns the connection that was used last, and closes those that
+// the target may be about to close.
+func (p *Pool) takeIdle(now time.Time) *connection {
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.keepUntil.IsZero() || now.Before(c.keepUntil) {
+			return c
+		}
+		p.drop(c)
+	}
+	return nil
+}
+
+// assign hands an exchange to a connection. Its goroutine then waits for the
+// answer.
+func (p *Pool) assign(now time.Time, c *connection, e *Exchange) {
+	c.exchange = e
+	e.conn = c
+	e.state = writing
+	e.sent = now
+	c.setReadDeadline(e.job.Deadline)
+}
+
+func (p *Pool) dialIfNeeded() {
+	if p.dialing < len(p.queue) && p.total < p.limit {
+		p.startDial()
+	}
+}
+
+func (p *Pool) startDial() {
+	p.total++
+	p.dialing++
+	p.count("opened")
+	go p.open()
+}
+
+// open dials a connection and then reads from it until it ends.
+func (p *Pool) open() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	raw, err := p.dial(ctx, p.address)
+	cancel()
+	p.mu.Lock()
+	p.dialing--
+	if err != nil {
+		p.total--
+		p.count("dial-failed")
+		unsent := p.failWaiting()
+		p.mu.Unlock()
+		for _, e := range unsent {
+			e.done(Reply{Result: placer.Unsent, Err: &Error{Op: "dial", Kind: KindUnreachable, Err: err}})
+		}
+		return
+	}
+	c := newConnection(p, raw)
+	next := p.offer(time.Now(), c)
+	p.mu.Unlock()
+	if next != nil {
+		c.write(next)
+	}
+	c.read()
+}
+
+// failWaiting takes the exchanges that no connection will carry.
+func (p *Pool) failWaiting() []*Exchange {
+	if p.total > 0 {
+		return nil
+	}
+	unsent := p.queue
+	p.queue = nil
+	for _, e := range unsent {
+		e.state = ended
+	}
+	return unsent
+}
+
+// offer gives a free connection the next waiting exchange, keeps it idle, or
+// closes it. It returns the exchange that is to be written.
+func (p *Pool) offer(now time.Time, c *connection) *Exchange {
+	if p.closed || (c.used && p.total > p.limit) {
+		p.drop(c)
+		return nil
+	}
+	if len(p.queue) == 0 {
+		c.setReadDeadline(time.Time{})
+		p.idle = append(p.idle, c)
+		return nil
+	}
+	e := p.queue[0]
+	p.queue = p.queue[1:]
+	p.assign(now, c, e)
+	return e
+}
+
+// drop closes a connection and lets another one take its place.
+func (p *Pool) drop(c *connection) {
+	if c.dropped {
+		return
+	}
+	c.dropped = true
+	p.total--
+	if i := slices.Index(p.idle, c); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+	}
+	c.raw.Close()
+	if !p.closed {
+		p.dialIfNeeded()
+	}
+}
+
+// dropSilent closes the idle connections that were last used before the given
+// time, after one beside them was found to be dead.
+func (p *Pool) dropSilent(since time.Time) {
+	for _, c := range slices.Clone(p.idle) {
+		if c.usedAt.Before(since) {
+			p.drop(c)
+		}
+	}
+}
+
+func (p *Pool) removeWaiting(e *Exchange) {
+	if i := slices.Index(p.queue, e); i >= 0 {
+		p.queue = slices.Delete(p.queue, i, i+1)
+	}
+}
+
+// Close ends idle connections now and the others after their exchange.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	for _, c := range slices.Clone(p.idle) {
+		p.drop(c)
+	}
+	unsent := p.queue
+	p.queue = nil
+	for _, e := range unsent {
+		e.state = ended
+	}
+	p.mu.Unlock()
+	for _, e := range unsent {
+		e.done(Reply{Result: placer.Unsent, Err: errRetired})
+	}
+}
--- /dev/null
+++ b/entry/follower/follower.go
@@ -0,0 +1,254 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/registrar"
+	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/supervisor"
+	"jackdawcart.org/core/timer"
+	"jackdawcart.org/platform/decoder"
+	"jackdawcart.org/platform/storer"
+)
+
+// Store is what the follower reads from.
+type Store interface {
+	List(ctx context.Context, prefix string, freshness storer.Freshness) (storer.Listing, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (storer.Listing, error)
+}
+
+// Config holds the constants of following.
+type Config struct {
+	// WatchWait is how long a watch waits. Each watch is a call that is paid
+	// for, so it is long.
+	WatchWait time.Duration
+	// Gather is the pause after changes, in which further ones are collected
+	// into one answer.
+	Gather time.Duration
+	// Retry is the pause after a failed call.
+	Retry time.Duration
+	// Hold is how long a registration may be missing after an outage.
+	Hold time.Duration
+}
+
+// DefaultConfig returns the constants used in production.
+func DefaultConfig() Config {
+	return Config{
+		WatchWait: 15 * time.Second,
+		Gather:    250 * time.Millisecond,
+		Retry:     300 * time.Millisecond,
+		// Registrations are back two seconds after the store is.
+		Hold: 2300 * time.Millisecond,
+	}
+}
+
+// Follower follows the store until its context ends.
+type Follower struct {
+	config Config
+	store  Store
+	link   *supervisor.Link
+	state  *State
+	timers *timer.Service
+	log    *zap.Logger
+	// onTable and onTarget hear of each change.
+	onTable  func(*router.Table)
+	onTarget func(registrar.Event)
+}
+
+// New returns a follower that keeps state current.
+func New(config Config, store Store, link *supervisor.Link, state *State, timers *timer.Service, log *zap.Logger,
+	onTable func(*router.Table), onTarget func(registrar.Event),
+) *Follower {
+	return &Follower{
+		config: config, store: store, link: link, state: state, timers: timers, log: log,
+		onTable: onTable, onTarget: onTarget,
+	}
+}
+
+// FollowConfiguration keeps the configuration current.
+func (f *Follower) FollowConfiguration(ctx context.Context) {
+	f.follow(ctx, stream{prefix: decoder.ConfigurationKey, replace: f.takeTables, change: f.takeTables})
+}
+
+// FollowTargets keeps the registrations current.
+func (f *Follower) FollowTargets(ctx context.Context) {
+	f.follow(ctx, stream{prefix: decoder.RegistrationPrefix, replace: f.replaceTargets, change: f.changeTargets})
+}
+
+// stream is a range of keys and what is done with its contents.
+type stream struct {
+	prefix  string
+	replace func(storer.Listing)
+	change  func(storer.Listing)
+}
+
+// follow reads a range in full and then its changes. It reads in full again
+// when the store has dropped the history that it needs.
+func (f *Follower) follow(ctx context.Context, s stream) {
+	for f.link.WaitUp(ctx) {
+		listing, err := f.store.List(ctx, s.prefix, storer.Current)
+		if err != nil {
+			f.failed(ctx, "read", s.prefix, err)
+			continue
+		}
+		f.succeeded()
+		s.replace(listing)
+		f.watch(ctx, s, listing.Revision)
+	}
+}
+
+// watch follows the changes after a revision until the history is lost.
+func (f *Follower) watch(ctx context.Context, s stream, revision uint64) {
+	for f.link.WaitUp(ctx) {
+		waiting, stop := f.link.WhileUp(ctx)
+		listing, err := f.store.Watch(waiting, s.prefix, revision, f.config.WatchWait)
+		interrupted := waiting.Err() != nil
+		stop()
+		switch {
+		case err == nil:
+			f.succeeded()
+			revision = listing.Revision
+			if len(listing.Items) > 0 {
+				s.change(listing)
+				f.pause(ctx, f.config.Gather)
+			}
+		case storer.IsKind(err, storer.KindHistoryLost):
+			f.log.Warn("history lost, reading in full", zap.String("prefix", s.prefix), zap.Uint64("revision", revision))
+			return
+		case interrupted:
+		default:
+			f.failed(ctx, "watch", s.prefix, err)
+		}
+	}
+}
+
+func (f *Follower) succeeded() {
+	if outage, regained := f.link.Succeeded(f.timers.Now()); regained {
+		f.log.Info("store regained", zap.Duration("outage", outage))
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, op, prefix string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.link.Failed() {
+		f.log.Warn("store lost", zap.String("op", op), zap.String("prefix", prefix), zap.Error(err))
+	}
+	f.pause(ctx, f.config.Retry)
+}
+
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	wait := f.timers.After(d)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
+
+// takeTables puts the configurations of a listing in force, the newest last.
+func (f *Follower) takeTables(listing storer.Listing) {
+	for _, item := range listing.Items {
+		if item.Key != decoder.ConfigurationKey || item.Gone {
+			continue
+		}
+		table, err := decoder.Configuration(item.Value)
+		if err != nil {
+			f.log.Error("configuration cannot be read", zap.Uint64("revision", item.Revision), zap.Error(err))
+			continue
+		}
+		if !f.state.setTable(table) {
+			continue
+		}
+		f.log.Info("configuration in force", zap.Int64("version", table.Version),
+			zap.Uint64("revision", item.Revision), zap.Int("routes", table.Routes()))
+		f.onTable(table)
+	}
+}
+
+func (f *Follower) replaceTargets(listing storer.Listing) {
+	now := f.timers.Now()
+	entries := make([]registrar.Entry, 0, len(listing.Items))
+	for _, item := range listing.Items {
+		if e, ok := f.entry(item); ok {
+			entries = append(entries, e)
+		}
+	}
+	hold := f.link.AfterLongOutage(now, f.config.Hold)
+	var events []registrar.Event
+	f.state.change(func(b *registrar.Book) { events = b.Replace(now, entries, listing.Revision, hold) })
+	f.tell(events)
+}
+
+func (f *Follower) changeTargets(listing storer.Listing) {
+	now := f.timers.Now()
+	hold := f.link.AfterLongOutage(now, f.config.Hold)
+	var events []registrar.Event
+	for _, item := range listing.Items {
+		id, ok := decoder.TargetID(item.Key)
+		if !ok {
+			continue
+		}
+		if item.Gone {
+			f.state.change(func(b *registrar.Book) { events = append(events, b.Remove(now, id, item.Revision, hold)) })
+			continue
+		}
+		if e, ok := f.entry(item); ok {
+			f.state.change(func(b *registrar.Book) { events = append(events, b.Put(now, e)) })
+			continue
+		}
+		// What stands under the key now is not the target's, so it names none.
+		f.state.change(func(b *registrar.Book) { events = append(events, b.Remove(now, id, item.Revision, false)) })
+	}
+	f.tell(events)
+}
+
+func (f *Follower) entry(item storer.Item) (registrar.Entry, bool) {
+	id, ok := decoder.TargetID(item.Key)
+	if !ok {
+		return registrar.Entry{}, false
+	}
+	target, err := decoder.Registration(id, item.Value)
+	if err != nil {
+		f.log.Warn("registration names no target", zap.String("target", id), zap.Error(err))
+		return registrar.Entry{}, false
+	}
+	return registrar.Entry{Revision: item.Revision, Target: target}, true
+}
+
+func (f *Follower) tell(events []registrar.Event) {
+	for _, e := range events {
+		if e.Change == registrar.Unchanged {
+			continue
+		}
+		f.log.Info("target "+e.Change.String(), zap.String("target", e.Record.ID), zap.String("service", e.Record.Service),
+			zap.Stringer("address", e.Record.Address), zap.String("domain", e.Record.Domain), zap.Uint64("revision", e.Record.Revision))
+		f.onTarget(e)
+	}
+}
+
+// sweepPeriod is how often held targets are looked at.
+const sweepPeriod = 200 * time.Millisecond
+
+// SweepHeld removes targets whose registration did not come back.
+func (f *Follower) SweepHeld(ctx context.Context) {
+	tick := f.timers.Every(sweepPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			if up, _ := f.link.State(); !up {
+				continue
+			}
+			var events []registrar.Event
+			f.state.change(func(b *registrar.Book) { events = b.Advance(now) })
+			f.tell(events)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,62 @@
+// Command jackdawcart-entry answers callers on an entry VM of the platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/urfave/cli/v3"
+
+	"jackdawcart.org/entry/configurer"
+	"jackdawcart.org/entry/runner"
+	"jackdawcart.org/platform/decoder"
+)
+
+// version is set by the linker for releases.
+var version = "development"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "jackdawcart-entry:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	files := []cli.Flag{
+		&cli.StringFlag{Name: "settings", Usage: "own settings `FILE`"},
+		&cli.StringFlag{
+			Name: "platform", Usage: "settings `FILE` that the platform writes",
+			Sources: cli.EnvVars(decoder.SettingsVariable), Required: true,
+		},
+	}
+	return &cli.Command{
+		Name:    "jackdawcart-entry",
+		Usage:   "answer callers on an entry VM",
+		Version: version,
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "answer callers until SIGTERM", Flags: files, Action: serve},
+			{Name: "check", Usage: "check the settings files and end", Flags: files, Action: check},
+		},
+	}
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	return merry.Prepend(runner.Run(ctx, runner.Files{Own: c.String("settings"), Platform: c.String("platform")}, version), "serve")
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	if _, err := configurer.Load(c.String("settings")); err != nil {
+		return merry.Prepend(err, "own settings")
+	}
+	if _, err := decoder.LoadSettings(c.String("platform")); err != nil {
+		return merry.Prepend(err, "settings of the platform")
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/responder/course.go
@@ -0,0 +1,216 @@
+package responder
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/forwarder"
+	"jackdawcart.org/core/merger"
+	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/router"
+	"jackdawcart.org/entry/courier"
+	"jackdawcart.org/platform/decoder"
+)
+
+// course is the course of one request from its arrival to its answer.
+type course struct {
+	responder *Responder
+	table     *router.Table
+	route     *router.Route
+	services  []string
+	id        string
+	arrived   time.Time
+	deadline  time.Time
+	body      []byte
+
+	query     *forwarder.Query
+	line      []byte
+	head      decoder.TargetHeader
+	method    string
+	replies   chan reply
+	exchanges []*courier.Exchange
+	parts     []courier.Reply
+	// failure is the last answer of a target that reports a failure.
+	failure *courier.Reply
+	hedges  int
+	retries int
+	left    bool
+	// troubles lists what went wrong at targets, for the log line at the end.
+	troubles []string
+}
+
+type reply struct {
+	shard, attempt int
+	target         string
+	reply          courier.Reply
+}
+
+// run sends the request and waits until it can be answered.
+func (c *course) run(ctx context.Context, request *http.Request) forwarder.Verdict {
+	r := c.responder
+	c.method = request.Method
+	c.line = []byte(request.Method + " " + request.RequestURI + " HTTP/1.1\r\n")
+	c.head = decoder.NewTargetHeader(request.Host, request.Header, c.body)
+	c.replies = make(chan reply, len(c.services)*(max(c.route.MaxAttempts, 1)+r.config.Query.MaxUnsent))
+	c.query = forwarder.New(r.config.Query, r.placer, r.beliefs, c.table, c.route, c.services, c.arrived, c.deadline)
+	defer c.abandon()
+	now := r.timers.Now()
+	c.send(now, c.query.Start(now))
+	wake := r.timers.After(c.query.NextWake().Sub(now))
+	defer wake.Stop()
+	for {
+		now = r.timers.Now()
+		if verdict := c.query.Judge(now); verdict != forwarder.Waiting {
+			return verdict
+		}
+		wake.Reset(max(c.query.NextWake().Sub(now), 0))
+		select {
+		case got := <-c.replies:
+			c.receive(got)
+		case <-wake.C:
+			now = r.timers.Now()
+			c.send(now, c.query.Wake(now))
+		case <-ctx.Done():
+			c.left = true
+			return forwarder.TimedOut
+		}
+	}
+}
+
+func (c *course) send(now time.Time, sends []forwarder.Send) {
+	for _, s := range sends {
+		switch {
+		case s.Reason == "hedge":
+			c.hedges++
+		case s.Attempt > 0:
+			c.retries++
+		}
+		c.dispatch(now, s)
+	}
+}
+
+func (c *course) dispatch(now time.Time, s forwarder.Send) {
+	r := c.responder
+	record := s.Placement.Record
+	service, _ := c.table.Service(record.Service)
+	left := c.deadline.Sub(now)
+	head := make([]byte, 0, len(c.line)+len(c.head)+headRoom)
+	head = append(head, c.line...)
+	head = c.head.AppendFor(head, record.ID, left)
+	job := courier.Job{
+		Method: c.method, RequestID: c.id, Head: head, Body: c.body, Deadline: c.deadline, MaxBody: r.config.MaxPart,
+	}
+	pool := r.couriers.Pool(record.ID, record.Address, r.placer.Connections(service.MaxConnections))
+	// The course may have ended when the answer comes, so it uses nothing of it
+	// but what does not change, and a ring that holds every answer.
+	route, aim, replies := c.route.Name, c.route.Aim, c.replies
+	exchange := pool.Send(now, job, func(got courier.Reply) {
+		r.placer.Ended(r.timers.Now(), route, aim, s.Placement, got.Result)
+		replies <- reply{shard: s.Shard, attempt: s.Attempt, target: record.ID, reply: got}
+	})
+	c.exchanges = append(c.exchanges, exchange)
+}
+
+// headRoom holds the headers that differ between targets.
+const headRoom = 96
+
+func (c *course) receive(got reply) {
+	now := c.responder.timers.Now()
+	result := got.reply.Result
+	if result == placer.Answered && c.route.Gathers() && !isPart(got.reply) {
+		result = placer.Failed
+	}
+	if result == placer.Answered {
+		if c.query.Answered(got.shard, got.attempt) {
+			c.parts = append(c.parts, got.reply)
+		}
+		return
+	}
+	if result == placer.Failed && got.reply.Err == nil {
+		c.failure = &got.reply
+	}
+	c.note(got, result)
+	c.send(now, c.query.Failed(now, got.shard, got.attempt, result))
+}
+
+// isPart reports whether a target's answer is a success for its shard.
+func isPart(r courier.Reply) bool {
+	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices && r.Answer.Stamp != ""
+}
+
+func (c *course) note(got reply, result placer.Result) {
+	detail := ""
+	if got.reply.Err != nil {
+		detail = " " + got.reply.Err.Error()
+	} else if got.reply.Status > 0 {
+		detail = " " + strconv.Itoa(got.reply.Status)
+	}
+	c.troubles = append(c.troubles, c.services[got.shard]+"/"+got.target+" "+result.String()+detail)
+}
+
+// abandon gives up what is still in flight.
+func (c *course) abandon() {
+	grace := c.responder.config.Late
+	if c.left {
+		grace = c.responder.config.Gone
+	}
+	now := c.responder.timers.Now()
+	for _, e := range c.exchanges {
+		e.Abandon(now, grace)
+	}
+}
+
+// write answers the caller and returns the status.
+func (c *course) write(w http.ResponseWriter, verdict forwarder.Verdict) int {
+	status := http.StatusBadGateway
+	switch verdict {
+	case forwarder.Whole, forwarder.Partial:
+		return c.writeSuccess(w)
+	case forwarder.NotRun:
+		status = http.StatusServiceUnavailable
+		decoder.SetRetryAfter(w.Header(), forwarder.RetryAfter(c.route.Aim))
+	case forwarder.Unserved:
+		if c.failure != nil && !c.route.Gathers() {
+			return c.writeAnswer(w, *c.failure)
+		}
+	default:
+		status = http.StatusGatewayTimeout
+	}
+	writeBody(w, status, nil)
+	return status
+}
+
+func (c *course) writeSuccess(w http.ResponseWriter) int {
+	if !c.route.Gathers() {
+		return c.writeAnswer(w, c.parts[0])
+	}
+	stamps := make([]string, len(c.parts))
+	bodies := make([][]byte, len(c.parts))
+	for i, part := range c.parts {
+		stamps[i], bodies[i] = part.Answer.Stamp, part.Body
+	}
+	decoder.SetCoverage(w.Header(), stamps, c.query.Missing())
+	writeBody(w, http.StatusOK, merger.Records(bodies, c.route.Best))
+	return http.StatusOK
+}
+
+// writeAnswer passes a target's answer on unchanged.
+func (c *course) writeAnswer(w http.ResponseWriter, answer courier.Reply) int {
+	decoder.CopyAnswer(w.Header(), answer.Header)
+	writeBody(w, answer.Status, answer.Body)
+	return answer.Status
+}
+
+func (c *course) logEnd(verdict forwarder.Verdict, status int, took time.Duration) {
+	c.responder.log.Info("request ended",
+		zap.String("request", c.id), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
+		zap.Stringer("verdict", verdict), zap.Int("status", status), zap.Duration("took", took),
+		zap.Duration("aim", c.route.Aim), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
+		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Bool("caller-left", c.left),
+		zap.String("troubles", strings.Join(c.troubles, "; ")))
+}
--- /dev/null
+++ b/entry/responder/responder.go
@@ -0,0 +1,208 @@
+// Package responder answers the requests of callers.
+package responder
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/forwarder"
+	"jackdawcart.org/core/meter"
+	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/registrar"
+	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/timer"
+	"jackdawcart.org/core/tracer"
+	"jackdawcart.org/entry/courier"
+	"jackdawcart.org/platform/decoder"
+)
+
+// Beliefs gives the configuration and the targets.
+type Beliefs interface {
+	Table() *router.Table
+	Targets(service string) []registrar.Record
+}
+
+// Config holds the constants of answering.
+type Config struct {
+	Query forwarder.Config
+	// Patience is how long a caller waits that does not say so.
+	Patience time.Duration
+	// Late is the grace for answers that are not needed any more, which keeps
+	// their connections.
+	Late time.Duration
+	// Gone is the same grace after the caller has left.
+	Gone time.Duration
+	// MaxPart bounds the body of a target's answer.
+	MaxPart int64
+}
+
+// DefaultConfig returns the constants used in production.
+func DefaultConfig() Config {
+	return Config{
+		Query:    forwarder.DefaultConfig(),
+		Patience: 5 * time.Second,
+		Late:     300 * time.Millisecond,
+		// The work for a caller that has left must end within half a second.
+		Gone:    150 * time.Millisecond,
+		MaxPart: 8 << 20,
+	}
+}
+
+// Responder is the handler of callers' requests.
+type Responder struct {
+	config   Config
+	beliefs  Beliefs
+	placer   *placer.Placer
+	couriers *courier.Couriers
+	timers   *timer.Service
+	spans    *tracer.Tracer
+	log      *zap.Logger
+	metrics  metrics
+	stopping atomic.Bool
+}
+
+type metrics struct {
+	scope   tally.Scope
+	latency tally.Histogram
+}
+
+// New returns the handler.
+func New(config Config, beliefs Beliefs, placing *placer.Placer, couriers *courier.Couriers,
+	timers *timer.Service, spans *tracer.Tracer, scope tally.Scope, log *zap.Logger,
+) *Responder {
+	return &Responder{
+		config: config, beliefs: beliefs, placer: placing, couriers: couriers,
+		timers: timers, spans: spans, log: log,
+		metrics: metrics{scope: scope, latency: scope.Histogram("request_latency", meter.LatencyBuckets)},
+	}
+}
+
+// Stop makes every further answer close its connection, so that callers move to
+// other entry VMs.
+func (r *Responder) Stop() { r.stopping.Store(true) }
+
+// ServeHTTP answers one request.
+func (r *Responder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	arrived := r.timers.Now()
+	if r.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	table := r.beliefs.Table()
+	if table == nil {
+		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "no configuration", noConfigurationRetry)
+		return
+	}
+	route, ok := table.Match(request.Host, request.URL.EscapedPath())
+	if !ok {
+		r.refuse(w, request, arrived, http.StatusNotFound, "no route", 0)
+		return
+	}
+	body, err := readBody(w, request, table.Limits.MaxBodyBytes)
+	if err != nil {
+		r.refuseBody(w, request, arrived, err)
+		return
+	}
+	services, ok := r.services(route)
+	if !ok {
+		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "route without service", noConfigurationRetry)
+		return
+	}
+	r.run(w, request, &course{
+		responder: r, table: table, route: route, services: services, arrived: arrived,
+		id: decoder.RequestID(request.Header), deadline: r.deadline(request, route, arrived), body: body,
+	})
+}
+
+// noConfigurationRetry is when a caller may return to a process that does not
+// know the configuration. It reads it within about a second of its start.
+const noConfigurationRetry = time.Second
+
+func (r *Responder) services(route *router.Route) ([]string, bool) {
+	if route.Gathers() {
+		return route.Shards, true
+	}
+	// The global generator is safe for concurrent use.
+	service, ok := router.PickShare(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), route.Split)
+	return []string{service}, ok
+}
+
+// deadline is when the caller stops waiting, or the operator wants an answer.
+func (r *Responder) deadline(request *http.Request, route *router.Route, arrived time.Time) time.Time {
+	patience, ok := decoder.Patience(request.Header)
+	if !ok {
+		patience = r.config.Patience
+	}
+	if route.Timeout > 0 {
+		patience = min(patience, route.Timeout)
+	}
+	return arrived.Add(patience)
+}
+
+func readBody(w http.ResponseWriter, request *http.Request, limit int64) ([]byte, error) {
+	if request.Body == nil || request.ContentLength == 0 {
+		return nil, nil
+	}
+	reader := request.Body
+	if limit > 0 {
+		reader = http.MaxBytesReader(w, request.Body, limit)
+	}
+	return io.ReadAll(reader)
+}
+
+func (r *Responder) refuseBody(w http.ResponseWriter, request *http.Request, arrived time.Time, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		r.refuse(w, request, arrived, http.StatusRequestEntityTooLarge, "body too large", 0)
+		return
+	}
+	r.refuse(w, request, arrived, http.StatusBadRequest, "body ended early", 0)
+}
+
+// refuse answers a request that was sent to no target.
+func (r *Responder) refuse(w http.ResponseWriter, request *http.Request, arrived time.Time, status int, reason string, retry time.Duration) {
+	if retry > 0 {
+		decoder.SetRetryAfter(w.Header(), retry)
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+	r.metrics.scope.Tagged(map[string]string{"reason": reason}).Counter("requests_refused").Inc(1)
+	r.log.Info("request refused", zap.String("request", decoder.RequestID(request.Header)), zap.String("host", request.Host),
+		zap.String("path", request.URL.Path), zap.Int("status", status), zap.String("reason", reason),
+		zap.Int64("version", version(r.beliefs.Table())), zap.Duration("took", r.timers.Now().Sub(arrived)))
+}
+
+func version(table *router.Table) int64 {
+	if table == nil {
+		return 0
+	}
+	return table.Version
+}
+
+func (r *Responder) run(w http.ResponseWriter, request *http.Request, c *course) {
+	ctx, span := r.spans.Start(request.Context(), "request", attribute.String("request", c.id), attribute.String("route", c.route.Name))
+	defer span.End()
+	verdict := c.run(ctx, request)
+	status := c.write(w, verdict)
+	took := r.timers.Now().Sub(c.arrived)
+	r.metrics.latency.RecordDuration(took)
+	r.metrics.scope.Tagged(map[string]string{"verdict": verdict.String()}).Counter("requests_ended").Inc(1)
+	span.SetAttributes(attribute.Int("status", status))
+	c.logEnd(verdict, status, took)
+}
+
+// answerSuccess writes a gathered answer.
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	// The caller may have left; the server notices by itself.
+	_, _ = w.Write(body)
+}
