Bound how long a watch of the store can be deaf

Ruled out: a skipped revision (the log shows 'after' and 'revision' of every watch). Watches wait 4 s now, and one that loses its history makes the others look too.

--- a/core/supervisor/link.go
+++ b/core/supervisor/link.go
@@ -58,6 +58,14 @@
 	return true
 }
 
+// Disturb ends every context of WhileUp, after one user has found that what it
+// waited for is gone. The others then look for themselves.
+func (l *Link) Disturb() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.signal()
+}
+
 func (l *Link) signal() {
 	close(l.changed)
 	l.changed = make(chan struct{})
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -23,7 +23,7 @@
 // Config holds the constants of following.
 type Config struct {
 	// WatchWait is how long a watch waits. Each watch is a call that is paid
-	// for, so it is long.
+	// for.
 	WatchWait time.Duration
 	// Gather is the pause after changes, in which further ones are collected
 	// into one answer.
@@ -37,8 +37,10 @@
 // DefaultConfig returns the constants used in production.
 func DefaultConfig() Config {
 	return Config{
-		WatchWait: 15 * time.Second,
-		Gather:    250 * time.Millisecond,
+		// A watch can go deaf while the store drops its history, and a change has
+		// to be known within three seconds of the end of such trouble.
+		WatchWait: 4 * time.Second,
+		Gather:    800 * time.Millisecond,
 		Retry:     300 * time.Millisecond,
 		// Registrations are back two seconds after the store is.
 		Hold: 2300 * time.Millisecond,
@@ -107,6 +109,8 @@
 		listing, err := f.store.Watch(waiting, s.prefix, revision, f.config.WatchWait)
 		interrupted := waiting.Err() != nil
 		stop()
+		f.log.Debug("watch ended", zap.String("prefix", s.prefix), zap.Uint64("after", revision),
+			zap.Uint64("revision", listing.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
 		switch {
 		case err == nil:
 			f.succeeded()
@@ -117,6 +121,7 @@
 			}
 		case storer.IsKind(err, storer.KindHistoryLost):
 			f.log.Warn("history lost, reading in full", zap.String("prefix", s.prefix), zap.Uint64("revision", revision))
+			f.link.Disturb()
 			return
 		case interrupted:
 		default:
