--- a/entry/courier/connection.go
+++ b/entry/courier/connection.go
@@ -55,9 +55,10 @@
 }
 
 // write sends the request of the exchange. A request that could not be written
-// at all reached nobody.
+// at all reached nobody. The head is made now, as a request that waited for a
+// connection has less time left than when it was placed.
 func (c *connection) write(e *Exchange) {
-	buffers := net.Buffers{e.job.Head}
+	buffers := net.Buffers{e.job.Head(time.Until(e.job.Deadline))}
 	if len(e.job.Body) > 0 {
 		buffers = append(buffers, e.job.Body)
 	}
--- a/entry/courier/exchange.go
+++ b/entry/courier/exchange.go
@@ -15,8 +15,9 @@
 type Job struct {
 	Method    string
 	RequestID string
-	// Head holds the request line and the headers, Body what follows.
-	Head, Body []byte
+	// Head returns the request line and the headers with the time that is left.
+	Head func(left time.Duration) []byte
+	Body []byte
 	// Deadline is when the answer is of no use any more.
 	Deadline time.Time
 	// MaxBody bounds the body of the answer.
--- a/entry/responder/course.go
+++ b/entry/responder/course.go
@@ -98,16 +98,17 @@
 	r := c.responder
 	record := s.Placement.Record
 	service, _ := c.table.Service(record.Service)
-	left := c.deadline.Sub(now)
-	head := make([]byte, 0, len(c.line)+len(c.head)+headRoom)
-	head = append(head, c.line...)
-	head = c.head.AppendFor(head, record.ID, left)
+	// The course may have ended when the request is written or answered, so the
+	// functions use nothing of it but what does not change.
+	line, common := c.line, c.head
 	job := courier.Job{
-		Method: c.method, RequestID: c.id, Head: head, Body: c.body, Deadline: c.deadline, MaxBody: r.config.MaxPart,
+		Method: c.method, RequestID: c.id, Body: c.body, Deadline: c.deadline, MaxBody: r.config.MaxPart,
+		Head: func(left time.Duration) []byte {
+			head := make([]byte, 0, len(line)+len(common)+headRoom)
+			return common.AppendFor(append(head, line...), record.ID, left)
+		},
 	}
 	pool := r.couriers.Pool(record.ID, record.Address, r.placer.Connections(service.MaxConnections))
-	// The course may have ended when the answer comes, so it uses nothing of it
-	// but what does not change, and a ring that holds every answer.
 	route, aim, replies := c.route.Name, c.route.Aim, c.replies
 	exchange := pool.Send(now, job, func(got courier.Reply) {
 		r.placer.Ended(r.timers.Now(), route, aim, s.Placement, got.Result)
