Take a target as gone when another one answers at its address

Cause: the registration of a replaced target stays for some seconds while its address serves another service. Ruled out: the number of entry VMs (9 throughout), hedges (0.05 of the sends).

--- a/core/registrar/book.go
+++ b/core/registrar/book.go
@@ -42,6 +42,8 @@
 	// missingSince is set while the registration is missing after the store was
 	// out of reach, and the target counts as live until the hold ends.
 	missingSince time.Time
+	// vacated is set while another target answers at the address.
+	vacated bool
 }
 
 // Change says what a registration did to the belief about a target.
@@ -56,9 +58,10 @@
 	Held
 	Restarted
 	Updated
+	Vacated
 )
 
-var changeNames = [...]string{"unchanged", "added", "draining", "removed", "held", "restarted", "updated"}
+var changeNames = [...]string{"unchanged", "added", "draining", "removed", "held", "restarted", "updated", "vacated"}
 
 // String returns the name of the change for logs.
 func (c Change) String() string { return changeNames[c] }
@@ -107,7 +110,7 @@
 func (b *Book) index() {
 	b.byService = make(map[string][]Record)
 	for _, r := range b.records {
-		if !r.Draining {
+		if !r.Draining && !r.vacated {
 			b.byService[r.Service] = append(b.byService[r.Service], *r)
 		}
 	}
@@ -171,6 +174,19 @@
 	return Event{Change: Removed, Record: *known}
 }
 
+// Vacate takes the news that another target answers at a target's address: the
+// target is gone although its registration has not ended yet. Only a newer
+// registration brings it back.
+func (b *Book) Vacate(id string) Event {
+	known, ok := b.records[id]
+	if !ok || known.vacated {
+		return Event{}
+	}
+	known.vacated = true
+	b.byService = nil
+	return Event{Change: Vacated, Record: *known}
+}
+
 // Replace takes a full reading of the registrations at a revision. Targets that
 // it lacks are removed, or held for a while if hold is set.
 func (b *Book) Replace(now time.Time, entries []Entry, revision uint64, hold bool) []Event {
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -236,6 +236,13 @@
 	}
 }
 
+// Vacate takes the news that another target answers at a target's address.
+func (f *Follower) Vacate(id string) {
+	var event registrar.Event
+	f.state.change(func(b *registrar.Book) { event = b.Vacate(id) })
+	f.tell([]registrar.Event{event})
+}
+
 // sweepPeriod is how often held targets are looked at.
 const sweepPeriod = 200 * time.Millisecond
 
--- a/entry/responder/course.go
+++ b/entry/responder/course.go
@@ -57,14 +57,14 @@
 	c.line = []byte(request.Method + " " + request.RequestURI + " HTTP/1.1\r\n")
 	c.head = decoder.NewTargetHeader(request.Host, request.Header, c.body)
 	c.replies = make(chan reply, len(c.services)*(max(c.route.MaxAttempts, 1)+r.config.Query.MaxUnsent))
-	c.query = forwarder.New(r.config.Query, r.placer, r.beliefs, c.table, c.route, c.services, c.arrived, c.deadline)
+	c.query = forwarder.New(r.config.Query, r.Placer, r.Beliefs, c.table, c.route, c.services, c.arrived, c.deadline)
 	defer c.abandon()
-	now := r.timers.Now()
+	now := r.Timers.Now()
 	c.send(now, c.query.Start(now))
-	wake := r.timers.After(c.query.NextWake().Sub(now))
+	wake := r.Timers.After(c.query.NextWake().Sub(now))
 	defer wake.Stop()
 	for {
-		now = r.timers.Now()
+		now = r.Timers.Now()
 		if verdict := c.query.Judge(now); verdict != forwarder.Waiting {
 			return verdict
 		}
@@ -73,7 +73,7 @@
 		case got := <-c.replies:
 			c.receive(got)
 		case <-wake.C:
-			now = r.timers.Now()
+			now = r.Timers.Now()
 			c.send(now, c.query.Wake(now))
 		case <-ctx.Done():
 			c.left = true
@@ -108,10 +108,10 @@
 			return common.AppendFor(append(head, line...), record.ID, left)
 		},
 	}
-	pool := r.couriers.Pool(record.ID, record.Address, r.placer.Connections(service.MaxConnections))
+	pool := r.Couriers.Pool(record.ID, record.Address, r.Placer.Connections(service.MaxConnections))
 	route, aim, replies := c.route.Name, c.route.Aim, c.replies
 	exchange := pool.Send(now, job, func(got courier.Reply) {
-		r.placer.Ended(r.timers.Now(), route, aim, s.Placement, got.Result)
+		r.Placer.Ended(r.Timers.Now(), route, aim, s.Placement, got.Result)
 		replies <- reply{shard: s.Shard, attempt: s.Attempt, target: record.ID, reply: got}
 	})
 	c.exchanges = append(c.exchanges, exchange)
@@ -121,7 +121,7 @@
 const headRoom = 96
 
 func (c *course) receive(got reply) {
-	now := c.responder.timers.Now()
+	now := c.responder.Timers.Now()
 	result := got.reply.Result
 	if result == placer.Answered && c.route.Gathers() && !isPart(got.reply) {
 		result = placer.Failed
@@ -135,6 +135,9 @@
 	if result == placer.Failed && got.reply.Err == nil {
 		c.failure = &got.reply
 	}
+	if got.reply.Answer.WrongTarget {
+		c.responder.Vacated(got.target)
+	}
 	c.note(got, result)
 	c.send(now, c.query.Failed(now, got.shard, got.attempt, result))
 }
@@ -160,7 +163,7 @@
 	if c.left {
 		grace = c.responder.config.Gone
 	}
-	now := c.responder.timers.Now()
+	now := c.responder.Timers.Now()
 	for _, e := range c.exchanges {
 		e.Abandon(now, grace)
 	}
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -57,14 +57,21 @@
 	}
 }
 
+// Parts are what the responder works with.
+type Parts struct {
+	Beliefs  Beliefs
+	Placer   *placer.Placer
+	Couriers *courier.Couriers
+	Timers   *timer.Service
+	Spans    *tracer.Tracer
+	// Vacated hears that another target answers at a target's address.
+	Vacated func(target string)
+}
+
 // Responder is the handler of callers' requests.
 type Responder struct {
+	Parts
 	config   Config
-	beliefs  Beliefs
-	placer   *placer.Placer
-	couriers *courier.Couriers
-	timers   *timer.Service
-	spans    *tracer.Tracer
 	log      *zap.Logger
 	metrics  metrics
 	stopping atomic.Bool
@@ -76,12 +83,9 @@
 }
 
 // New returns the handler.
-func New(config Config, beliefs Beliefs, placing *placer.Placer, couriers *courier.Couriers,
-	timers *timer.Service, spans *tracer.Tracer, scope tally.Scope, log *zap.Logger,
-) *Responder {
+func New(config Config, parts Parts, scope tally.Scope, log *zap.Logger) *Responder {
 	return &Responder{
-		config: config, beliefs: beliefs, placer: placing, couriers: couriers,
-		timers: timers, spans: spans, log: log,
+		Parts: parts, config: config, log: log,
 		metrics: metrics{scope: scope, latency: scope.Histogram("request_latency", meter.LatencyBuckets)},
 	}
 }
@@ -92,11 +96,11 @@
 
 // ServeHTTP answers one request.
 func (r *Responder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	arrived := r.timers.Now()
+	arrived := r.Timers.Now()
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	table := r.beliefs.Table()
+	table := r.Beliefs.Table()
 	if table == nil {
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "no configuration", noConfigurationRetry)
 		return
@@ -177,7 +181,7 @@
 	r.metrics.scope.Tagged(map[string]string{"reason": reason}).Counter("requests_refused").Inc(1)
 	r.log.Info("request refused", zap.String("request", decoder.RequestID(request.Header)), zap.String("host", request.Host),
 		zap.String("path", request.URL.Path), zap.Int("status", status), zap.String("reason", reason),
-		zap.Int64("version", version(r.beliefs.Table())), zap.Duration("took", r.timers.Now().Sub(arrived)))
+		zap.Int64("version", version(r.Beliefs.Table())), zap.Duration("took", r.Timers.Now().Sub(arrived)))
 }
 
 func version(table *router.Table) int64 {
@@ -188,11 +192,11 @@
 }
 
 func (r *Responder) run(w http.ResponseWriter, request *http.Request, c *course) {
-	ctx, span := r.spans.Start(request.Context(), "request", attribute.String("request", c.id), attribute.String("route", c.route.Name))
+	ctx, span := r.Spans.Start(request.Context(), "request", attribute.String("request", c.id), attribute.String("route", c.route.Name))
 	defer span.End()
 	verdict := c.run(ctx, request)
 	status := c.write(w, verdict)
-	took := r.timers.Now().Sub(c.arrived)
+	took := r.Timers.Now().Sub(c.arrived)
 	r.metrics.latency.RecordDuration(took)
 	r.metrics.scope.Tagged(map[string]string{"verdict": verdict.String()}).Counter("requests_ended").Inc(1)
 	span.SetAttributes(attribute.Int("status", status))
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -116,7 +116,9 @@
 	e.couriers = courier.New(dial, func(event string) { e.metrics.Scope.Counter("connections_" + event).Inc(1) })
 	config := responder.DefaultConfig()
 	config.Query.CallerTime = e.own.CallerTime
-	e.respond = responder.New(config, e.state, e.place, e.couriers, e.timers, e.spans, e.metrics.Scope, e.log)
+	e.respond = responder.New(config, responder.Parts{
+		Beliefs: e.state, Placer: e.place, Couriers: e.couriers, Timers: e.timers, Spans: e.spans, Vacated: e.follow.Vacate,
+	}, e.metrics.Scope, e.log)
 	e.ready = &readiness{state: e.state}
 }
 
@@ -150,7 +152,7 @@
 func (e *entry) onTarget(event registrar.Event) {
 	record := event.Record
 	switch event.Change {
-	case registrar.Removed, registrar.Drained:
+	case registrar.Removed, registrar.Drained, registrar.Vacated:
 		e.couriers.Retire(record.ID)
 		if event.Change == registrar.Removed {
 			e.place.Forget(record.Service, record.ID)
