--- a/entry/responder/course.go
+++ b/entry/responder/course.go
@@ -4,10 +4,8 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
-	"go.uber.org/zap"
 
 	"jackdawcart.org/core/forwarder"
 	"jackdawcart.org/core/merger"
@@ -42,8 +40,18 @@
 	// remote counts the sub-requests to other failure domains.
 	remote int
 	left   bool
-	// troubles lists what went wrong at targets, for the log line at the end.
-	troubles []string
+	// sendings is kept for the log line at the end.
+	sendings []sending
+}
+
+// sending is one sub-request as the log shows it.
+type sending struct {
+	shard, attempt int
+	target         string
+	reason         string
+	sent, ended    time.Time
+	result         placer.Result
+	detail         string
 }
 
 type reply struct {
@@ -113,6 +121,7 @@
 			return common.AppendFor(append(head, line...), record.ID, left)
 		},
 	}
+	c.sendings = append(c.sendings, sending{shard: s.Shard, attempt: s.Attempt, target: record.ID, reason: s.Reason, sent: now})
 	pool := r.Couriers.Pool(record.ID, record.Address, r.Placer.Connections(service.MaxConnections))
 	route, aim, replies := c.route.Name, c.route.Aim, c.replies
 	exchange := pool.Send(now, job, func(got courier.Reply) {
@@ -131,6 +140,7 @@
 	if result == placer.Answered && c.route.Gathers() && !isPart(got.reply) {
 		result = placer.Failed
 	}
+	c.note(got, result, now)
 	if result == placer.Answered {
 		if c.query.Answered(got.shard, got.attempt) {
 			c.parts = append(c.parts, got.reply)
@@ -143,7 +153,6 @@
 	if got.reply.Answer.WrongTarget {
 		c.responder.Vacated(got.target)
 	}
-	c.note(got, result)
 	c.send(now, c.query.Failed(now, got.shard, got.attempt, result))
 }
 
@@ -152,14 +161,20 @@
 	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices && r.Answer.Stamp != ""
 }
 
-func (c *course) note(got reply, result placer.Result) {
-	detail := ""
-	if got.reply.Err != nil {
-		detail = " " + got.reply.Err.Error()
-	} else if got.reply.Status > 0 {
-		detail = " " + strconv.Itoa(got.reply.Status)
+func (c *course) note(got reply, result placer.Result, now time.Time) {
+	for i := range c.sendings {
+		s := &c.sendings[i]
+		if s.shard != got.shard || s.attempt != got.attempt {
+			continue
+		}
+		s.ended, s.result = now, result
+		switch {
+		case got.reply.Err != nil:
+			s.detail = got.reply.Err.Error()
+		case result != placer.Answered:
+			s.detail = strconv.Itoa(got.reply.Status)
+		}
 	}
-	c.troubles = append(c.troubles, c.services[got.shard]+"/"+got.target+" "+result.String()+detail)
 }
 
 // abandon gives up what is still in flight.
@@ -215,11 +230,3 @@
 	return answer.Status
 }
 
-func (c *course) logEnd(verdict forwarder.Verdict, status int, took time.Duration) {
-	c.responder.log.Info("request ended",
-		zap.String("request", c.id), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
-		zap.Stringer("verdict", verdict), zap.Int("status", status), zap.Duration("took", took),
-		zap.Duration("aim", c.route.Aim), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
-		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote), zap.Bool("caller-left", c.left),
-		zap.String("troubles", strings.Join(c.troubles, "; ")))
-}
--- /dev/null
+++ b/entry/responder/report.go
@@ -0,0 +1,57 @@
+package responder
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/forwarder"
+	"jackdawcart.org/core/placer"
+)
+
+// slowShare is the part of a route's aim from which an answer of a shard is
+// listed in the log: only such answers can make a request late.
+const slowShare = 0.5
+
+// maxListed bounds the sub-requests in a log line.
+const maxListed = 12
+
+// logEnd writes the line from which the course of a request can be read.
+func (c *course) logEnd(verdict forwarder.Verdict, status int, took time.Duration) {
+	c.responder.log.Info("request ended",
+		zap.String("request", c.id), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
+		zap.Stringer("verdict", verdict), zap.Int("status", status), zap.Duration("took", took),
+		zap.Duration("aim", c.route.Aim), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
+		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote),
+		zap.Bool("caller-left", c.left), zap.String("troubles", c.troubles(c.arrived.Add(took))))
+}
+
+// troubles lists the sub-requests that failed, had no answer or were slow:
+// shard, target, why it was sent, when, how long it took and how it ended.
+func (c *course) troubles(end time.Time) string {
+	var list []string
+	slow := time.Duration(slowShare * float64(c.route.Aim))
+	for _, s := range c.sendings {
+		open := s.ended.IsZero()
+		if !open && s.result == placer.Answered && s.ended.Sub(c.arrived) < slow {
+			continue
+		}
+		if len(list) == maxListed {
+			list = append(list, "...")
+			break
+		}
+		outcome, ended := "open", end
+		if !open {
+			outcome, ended = s.result.String(), s.ended
+		}
+		text := fmt.Sprintf("%s/%s %s +%s %s %s", c.services[s.shard], s.target, s.reason,
+			s.sent.Sub(c.arrived).Round(time.Millisecond), ended.Sub(s.sent).Round(time.Millisecond), outcome)
+		if s.detail != "" {
+			text += " " + s.detail
+		}
+		list = append(list, text)
+	}
+	return strings.Join(list, "; ")
+}
