Set slow replicas aside by latencies relative to their route

Cause: a near replica that is eight times as slow faded into favour within a second, again and again, as its average mixed short and long routes and rose by a tenth a sample. Latencies are told relative to the route now, four late ones in a row set a replica aside, one is enough after that, and the answers that end a pause together count once.

--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -40,7 +40,16 @@
 	// Bytes between failure domains are priced, so a near replica is used until
 	// it is clearly slower.
 	choice.RemotePenalty = 3
-	choice.LatencyLife = time.Second
+	// Latencies are given relative to those of the route, so a target is slow
+	// from a small multiple on. Four in a row are no chance and no pause, which
+	// two or three requests meet.
+	choice.InitialLatency = relativeLatency
+	choice.OutlierFactor = 3
+	choice.EjectLate = 4
+	choice.EjectAgain = 1
+	choice.EjectMax = 4 * time.Second
+	// All but one of three replicas may be slow.
+	choice.MaxEjected = 0.67
 	delay := hedger.DefaultConfig()
 	delay.Quantile = 95
 	return Config{
@@ -54,6 +63,11 @@
 	}
 }
 
+// relativeLatency stands for the usual latency of a route in what the choice
+// between replicas is told, so that routes with short and with long work can be
+// compared.
+const relativeLatency = 10 * time.Millisecond
+
 // Limits are the bounds that the tier shares between its entry VMs.
 type Limits struct {
 	// RepeatRatio is the share of a service's requests that may be sent again.
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -52,7 +52,13 @@
 	limits   Limits
 	services map[string]*service
 	targets  map[string]*target
-	delays   map[string]*hedger.State
+	routes   map[string]*route
+}
+
+// route is what is known of the latencies on a route.
+type route struct {
+	delay *hedger.State
+	usual time.Duration
 }
 
 type service struct {
@@ -69,6 +75,8 @@
 	// alive is the last answer, or the first sending after idleness.
 	alive time.Time
 	usual time.Duration
+	// late is the last answer that took far longer than usual.
+	late time.Time
 }
 
 // New returns a placer of a process in the given failure domain.
@@ -80,7 +88,7 @@
 		limits:   Limits{EntryVMs: 1},
 		services: make(map[string]*service),
 		targets:  make(map[string]*target),
-		delays:   make(map[string]*hedger.State),
+		routes:   make(map[string]*route),
 	}
 }
 
@@ -216,7 +224,7 @@
 func (p *Placer) HedgeAt(route string, aim time.Duration, placed Placement) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delay := p.delay(route, aim).Delay()
+	delay := p.route(route, aim).delay.Delay()
 	if bound := time.Duration(p.config.DelayShare * float64(aim)); delay > bound {
 		delay = bound
 	}
@@ -235,12 +243,14 @@
 	t, id := placed.target, placed.Record.ID
 	t.inFlight--
 	latency := now.Sub(placed.Started)
+	r := p.route(route, aim)
 	switch result {
 	case Answered:
 		t.alive = now
-		t.observe(latency)
-		s.choice.Succeeded(now, id, latency, placed.factor)
-		p.delay(route, aim).Observe(now, latency)
+		t.usual = observe(t.usual, latency, usualWeight)
+		r.usual = observe(r.usual, latency, routeWeight)
+		p.tellLatency(now, s, r, placed, latency)
+		r.delay.Observe(now, latency)
 		delete(s.fullUntil, id)
 	case Refused:
 		t.alive = now
@@ -249,22 +259,50 @@
 	case Failed, Lost, Unsent:
 		s.choice.Failed(now, id)
 	case Abandoned:
-		s.choice.Cancelled(now, id, latency, placed.factor)
+		s.choice.Cancelled(now, id, r.relative(latency), placed.factor)
+	}
+}
+
+// tellLatency gives a latency to the choice between replicas. When a pause ends,
+// several late answers come together; they say no more than one of them.
+func (p *Placer) tellLatency(now time.Time, s *service, r *route, placed Placement, latency time.Duration) {
+	t := placed.target
+	relative := min(r.relative(latency), maxJump*relativeLatency)
+	if float64(relative) > p.config.Selector.OutlierFactor*float64(relativeLatency) {
+		if now.Sub(t.late) < r.usual {
+			s.choice.Released(placed.Record.ID)
+			return
+		}
+		t.late = now
 	}
+	s.choice.Succeeded(now, placed.Record.ID, relative, placed.factor)
 }
 
-// usualWeight is the weight of an answer in a target's usual latency: about
-// ten answers, so that one long request does not change it much.
-const usualWeight = 0.1
+// Weights of an answer in the usual latency of a target and of a route: about
+// ten and a hundred answers, so that one long request does not change it much.
+const (
+	usualWeight = 0.1
+	routeWeight = 0.01
+)
+
+// maxJump bounds a single answer's part in a usual latency, as a pause must not
+// make the next pause look usual.
+const maxJump = 4
+
+func observe(usual, latency time.Duration, weight float64) time.Duration {
+	if usual == 0 {
+		return latency
+	}
+	latency = min(latency, maxJump*usual)
+	return time.Duration(weight*float64(latency) + (1-weight)*float64(usual))
+}
 
-func (t *target) observe(latency time.Duration) {
-	if t.usual == 0 {
-		t.usual = latency
-		return
+// relative returns a latency as a multiple of the route's usual one.
+func (r *route) relative(latency time.Duration) time.Duration {
+	if r.usual == 0 {
+		return latency
 	}
-	// A pause must not make the next pause look usual.
-	latency = min(latency, 4*t.usual)
-	t.usual = time.Duration(usualWeight*float64(latency) + (1-usualWeight)*float64(t.usual))
+	return time.Duration(float64(relativeLatency) * float64(latency) / float64(r.usual))
 }
 
 func (p *Placer) service(name string) *service {
@@ -290,17 +328,17 @@
 	return t
 }
 
-// delay returns the latencies of a route. Until enough are known, a hedge waits
+// route returns the latencies of a route. Until enough are known, a hedge waits
 // for a share of the aim.
-func (p *Placer) delay(route string, aim time.Duration) *hedger.State {
-	d, ok := p.delays[route]
+func (p *Placer) route(name string, aim time.Duration) *route {
+	r, ok := p.routes[name]
 	if !ok {
 		config := p.config.Hedger
 		config.InitialDelay = time.Duration(p.config.DelayShare * float64(aim))
-		d = hedger.New(config)
-		p.delays[route] = d
+		r = &route{delay: hedger.New(config)}
+		p.routes[name] = r
 	}
-	return d
+	return r
 }
 
 // Forget drops what is known of a target that has left, and of its successor
--- /dev/null
+++ b/core/placer/placer_test.go
@@ -0,0 +1,195 @@
+package placer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/registrar"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// load replays sub-requests at the replicas of one service on virtual time.
+type load struct {
+	placer  *placer.Placer
+	rng     *rand.Rand
+	targets []registrar.Record
+	now     time.Time
+	ends    endings
+	// work returns how long a sub-request of a route takes at a target.
+	work func(route string, target string, at time.Duration) time.Duration
+	sent map[string]int
+}
+
+type ending struct {
+	at     time.Time
+	route  string
+	placed placer.Placement
+}
+
+type endings []ending
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
+func (e *endings) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newLoad(replicas int) *load {
+	rng := rand.New(rand.NewPCG(1, 2))
+	l := &load{
+		placer: placer.New(placer.DefaultConfig(), "domain-0", rng), rng: rng, now: start, sent: make(map[string]int),
+	}
+	l.placer.SetLimits(placer.Limits{RepeatRatio: 0.2, RepeatExtra: 58, EntryVMs: 1})
+	for i := range replicas {
+		l.targets = append(l.targets, registrar.Record{Target: registrar.Target{
+			ID: fmt.Sprintf("i-%d", i), Service: "shard", Domain: fmt.Sprintf("domain-%d", i), Slots: 2,
+		}})
+	}
+	return l
+}
+
+const (
+	longRoute  = "long"
+	shortRoute = "short"
+	aim        = 100 * time.Millisecond
+)
+
+// run sends one sub-request each gap, alternating between the routes.
+func (l *load) run(length, gap time.Duration) {
+	end := l.now.Add(length)
+	for i := 0; l.now.Before(end); i++ {
+		for len(l.ends) > 0 && !l.ends[0].at.After(l.now) {
+			e := heap.Pop(&l.ends).(ending)
+			l.placer.Ended(e.at, e.route, aim, e.placed, placer.Answered)
+		}
+		route := longRoute
+		if i%4 == 0 {
+			route = shortRoute
+		}
+		placed, ok := l.placer.Place(l.now, placer.Request{Service: "shard", Targets: l.targets, MaxConnections: 100})
+		if ok {
+			id := placed.Record.ID
+			l.sent[id]++
+			heap.Push(&l.ends, ending{at: l.now.Add(l.work(route, id, l.now.Sub(start))), route: route, placed: placed})
+		}
+		l.now = l.now.Add(gap)
+	}
+}
+
+// usualWork is the work of the sheets: one route's requests take three times as
+// long as the other's, and each varies by a third.
+func (l *load) usualWork(route string) time.Duration {
+	work := 15 * time.Millisecond
+	if route == shortRoute {
+		work = 5 * time.Millisecond
+	}
+	return time.Duration(float64(work) * (0.65 + 0.7*l.rng.Float64()))
+}
+
+// Two of three replicas turn eight times as slow, the near one among them, for
+// many times the length of a request. They must get little more than what it
+// takes to notice their recovery: each request there needs a repeat, of which a
+// fifth is allowed, and pauses need most of that.
+func TestSlowReplicasAreLeft(t *testing.T) {
+	l := newLoad(3)
+	l.work = func(route, target string, at time.Duration) time.Duration {
+		work := l.usualWork(route)
+		if target != "i-2" && at > 2*time.Second {
+			work *= 8
+		}
+		return work
+	}
+	l.run(3*time.Second, 40*time.Millisecond)
+	clear(l.sent)
+	l.run(5*time.Second, 40*time.Millisecond)
+	total := l.sent["i-0"] + l.sent["i-1"] + l.sent["i-2"]
+	if slow := l.sent["i-0"] + l.sent["i-1"]; slow > total/20 {
+		t.Fatalf("%d of %d requests went to slow replicas, want at most a twentieth: %v", slow, total, l.sent)
+	}
+}
+
+// The near replica must be used again soon after a slow spell, as bytes between
+// failure domains are paid for.
+func TestNearReplicaIsTakenBack(t *testing.T) {
+	l := newLoad(3)
+	l.work = func(route, target string, at time.Duration) time.Duration {
+		work := l.usualWork(route)
+		if target == "i-0" && at > 2*time.Second && at < 8*time.Second {
+			work *= 8
+		}
+		return work
+	}
+	l.run(12*time.Second, 40*time.Millisecond)
+	clear(l.sent)
+	l.run(5*time.Second, 40*time.Millisecond)
+	total := l.sent["i-0"] + l.sent["i-1"] + l.sent["i-2"]
+	if l.sent["i-0"] < total*3/4 {
+		t.Fatalf("%d of %d requests went to the near replica, want three quarters", l.sent["i-0"], total)
+	}
+}
+
+// Replicas pause for 150 ms in each 3.6 s, each at its own time. A pause must
+// neither get more than the requests that were there when it began and the
+// first that met it, nor drive work out of the failure domain.
+func TestPausesAreAvoided(t *testing.T) {
+	l := newLoad(3)
+	const period, pause = 3600 * time.Millisecond, 150 * time.Millisecond
+	met := 0
+	l.work = func(route, target string, at time.Duration) time.Duration {
+		work := l.usualWork(route)
+		phase := (at + time.Duration(target[2]-'0')*time.Second) % period
+		if phase < pause {
+			met++
+			work += pause - phase
+		}
+		return work
+	}
+	l.run(36*time.Second, 10*time.Millisecond)
+	total := l.sent["i-0"] + l.sent["i-1"] + l.sent["i-2"]
+	if l.sent["i-0"] < total*8/10 {
+		t.Fatalf("%d of %d requests went to the near replica, want 8 of 10", l.sent["i-0"], total)
+	}
+	// A pause begins 10 times at each replica. About four requests are sent
+	// before the silence is long enough to be told from work.
+	if met > 60 {
+		t.Fatalf("%d requests met a pause", met)
+	}
+}
+
+// Repeats stay within the ratio that all entry VMs together may use, whatever
+// the targets do.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	l := newLoad(3)
+	l.placer.SetLimits(placer.Limits{RepeatRatio: 0.2, RepeatExtra: 58, EntryVMs: 9})
+	repeats, firsts := 0, 1000
+	for range firsts {
+		r := placer.Request{Service: "shard", Targets: l.targets, MaxConnections: 100}
+		placed, ok := l.placer.Place(l.now, r)
+		if !ok {
+			t.Fatal("no placement")
+		}
+		r.Again, r.Avoid = true, []string{placed.Record.ID}
+		again, ok := l.placer.Place(l.now, r)
+		if ok {
+			repeats++
+			l.placer.Ended(l.now, longRoute, aim, again, placer.Answered)
+		}
+		l.placer.Ended(l.now, longRoute, aim, placed, placer.Answered)
+		l.now = l.now.Add(10 * time.Millisecond)
+	}
+	if allowed := firsts/5 + 58/9; repeats > allowed {
+		t.Fatalf("%d repeats, allowed %d", repeats, allowed)
+	}
+	if repeats < firsts/10 {
+		t.Fatalf("%d repeats, want at least a tenth", repeats)
+	}
+}
--- a/core/selector/observe.go
+++ b/core/selector/observe.go
@@ -60,7 +60,11 @@
 func (s *State) countLate(now time.Time, t *stats, latency time.Duration) {
 	s.observe(now, t, latency)
 	t.late++
-	if s.config.EjectLate > 0 && t.late >= s.config.EjectLate {
+	bound := s.config.EjectLate
+	if t.ejections > 0 && s.config.EjectAgain > 0 {
+		bound = s.config.EjectAgain
+	}
+	if bound > 0 && t.late >= bound {
 		s.eject(now, t)
 	}
 }
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -27,6 +27,9 @@
 	// EjectLate is the number of late requests in a row that sets a target
 	// aside; 0 means never.
 	EjectLate int
+	// EjectAgain is the same number for a target that has not answered in time
+	// since it was last set aside; 0 means EjectLate.
+	EjectAgain int
 	// EjectFor is how long a target is set aside the first time; it doubles up
 	// to EjectMax while the target keeps failing.
 	EjectFor time.Duration
