--- a/core/forwarder/query.go
+++ b/core/forwarder/query.go
@@ -13,7 +13,7 @@
 
 // Placing chooses targets and knows what is in flight.
 type Placing interface {
-	Place(now time.Time, r placer.Request) (placer.Placement, bool)
+	Place(now time.Time, r placer.Request) (placer.Placement, placer.Outcome)
 	HedgeAt(route string, aim time.Duration, placed placer.Placement) time.Time
 }
 
@@ -38,7 +38,7 @@
 	return Config{
 		CallerTime: 9 * time.Millisecond,
 		MaxUnsent:  4,
-		PlaceAgain: 5 * time.Millisecond,
+		PlaceAgain: 10 * time.Millisecond,
 	}
 }
 
@@ -93,8 +93,8 @@
 	ran bool
 	// dead is true once no further try is possible.
 	dead bool
-	// hedged is true once no further hedge is possible.
-	hedged bool
+	// hedgeAgain is when a hedge that found no place is tried again.
+	hedgeAgain time.Time
 	// placeAt is when an unplaced shard is tried again.
 	placeAt time.Time
 }
@@ -120,6 +120,7 @@
 	deadline  time.Time
 	shards    []shard
 	answered  int
+	denied    Denied
 }
 
 // New returns the query of a request that arrived at the given time and has to
@@ -214,16 +215,33 @@
 
 func (q *Query) choose(now time.Time, s *shard) (placer.Placement, bool) {
 	service, _ := q.table.Service(s.service)
-	return q.placing.Place(now, placer.Request{
+	placed, outcome := q.placing.Place(now, placer.Request{
 		Service:        s.service,
 		Targets:        q.directory.Targets(s.service),
 		MaxConnections: service.MaxConnections,
 		Avoid:          s.tried,
 		Again:          len(s.attempts) > 0,
+		Hedge:          s.inFlight() > 0,
 		Free:           s.sent == 0,
 	})
+	switch outcome {
+	case placer.NoTarget:
+		q.denied.NoTarget++
+	case placer.NoBudget:
+		q.denied.NoBudget++
+	case placer.Placed:
+	}
+	return placed, outcome == placer.Placed
+}
+
+// Denied counts the repeats and first tries that found no place.
+type Denied struct {
+	NoTarget, NoBudget int
 }
 
+// Denied returns how often no place was found.
+func (q *Query) Denied() Denied { return q.denied }
+
 func (q *Query) send(s *shard, i int, placed placer.Placement, reason string) Send {
 	s.attempts = append(s.attempts, attempt{placement: placed})
 	s.tried = append(s.tried, placed.Record.ID)
@@ -278,8 +296,7 @@
 				sends = append(sends, q.send(s, i, placed, "hedge"))
 				continue
 			}
-			// Without a fit target or budget the shard keeps waiting.
-			s.hedged = true
+			s.hedgeAgain = now.Add(q.config.PlaceAgain)
 		}
 	}
 	return sends
@@ -291,14 +308,18 @@
 }
 
 func (q *Query) hedgeAt(s *shard) (time.Time, bool) {
-	if s.answered || s.dead || s.hedged || !q.route.Repeatable || !q.mayRepeat(s) {
+	if s.answered || s.dead || !q.route.Repeatable || !q.mayRepeat(s) {
 		return time.Time{}, false
 	}
 	last := len(s.attempts) - 1
 	if last < 0 || s.attempts[last].ended {
 		return time.Time{}, false
 	}
-	return q.placing.HedgeAt(q.route.Name, q.route.Aim, s.attempts[last].placement), true
+	at := q.placing.HedgeAt(q.route.Name, q.route.Aim, s.attempts[last].placement)
+	if at.Before(s.hedgeAgain) {
+		at = s.hedgeAgain
+	}
+	return at, true
 }
 
 // NextWake returns when Wake or Judge must be called at the latest.
--- a/core/hedger/hedger.go
+++ b/core/hedger/hedger.go
@@ -106,8 +106,12 @@
 }
 
 // Withdraw takes the budget for one hedge or retry, if there is any.
-func (s *State) Withdraw() bool {
-	if s.tokens < 1 {
+func (s *State) Withdraw() bool { return s.WithdrawAbove(0) }
+
+// WithdrawAbove takes the budget for one hedge or retry if more than the given
+// share of the burst is left after it.
+func (s *State) WithdrawAbove(share float64) bool {
+	if s.tokens < 1+share*s.config.Burst {
 		return false
 	}
 	s.tokens--
--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -29,6 +29,15 @@
 	// used; the rest covers the difference between the windows of the judge and
 	// of the process.
 	BudgetShare float64
+	// HedgeReserve is the share of an unused budget that hedges leave to repeats
+	// of answers that will not come.
+	HedgeReserve float64
+	// FailingRate is the rate of failures from which a target is avoided while
+	// another one has at most half of it.
+	FailingRate float64
+	// FailingLife is the time in which half of a rate of failures is forgotten,
+	// so that the target is tried again.
+	FailingLife time.Duration
 	// ConnectionShare is the part of a target's connections that the entry VMs
 	// use together; the rest covers views of their number that differ.
 	ConnectionShare float64
@@ -58,7 +67,10 @@
 		SilentFactor:    2.5,
 		SilentFloor:     8 * time.Millisecond,
 		DelayShare:      0.3,
-		BudgetShare:     0.8,
+		BudgetShare:     0.9,
+		HedgeReserve:    0.5,
+		FailingRate:     0.1,
+		FailingLife:     3 * time.Second,
 		ConnectionShare: 0.85,
 	}
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -34,6 +35,19 @@
 // String returns the name of the result for logs.
 func (r Result) String() string { return resultNames[r] }
 
+// Outcome says whether a sub-request was placed.
+type Outcome int
+
+// Outcomes.
+const (
+	// Placed says that a target was chosen.
+	Placed Outcome = iota
+	// NoTarget says that no target may take the request.
+	NoTarget
+	// NoBudget says that the budget of repeats is used up.
+	NoBudget
+)
+
 // Placement is a sub-request at a target.
 type Placement struct {
 	Record  registrar.Record
@@ -77,6 +91,9 @@
 	usual time.Duration
 	// late is the last answer that took far longer than usual.
 	late time.Time
+	// failing is the rate of failures as of the last end, judged.
+	failing float64
+	judged  time.Time
 }
 
 // New returns a placer of a process in the given failure domain.
@@ -132,25 +149,27 @@
 	Avoid []string
 	// Again is true if the request was sent to a target of the service before.
 	Again bool
+	// Hedge is true for a repeat while an earlier answer may still come.
+	Hedge bool
 	// Free is true for a repeat that the shared budget does not count, as no
 	// byte of the earlier one arrived.
 	Free bool
 }
 
 // Place chooses a target and counts the sub-request as in flight there. It
-// returns false if no target may take it or the budget of repeats is used up.
-func (p *Placer) Place(now time.Time, r Request) (Placement, bool) {
+// says why not if it did not.
+func (p *Placer) Place(now time.Time, r Request) (Placement, Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.service(r.Service)
 	i, ok := p.choose(now, s, r)
 	if !ok {
-		return Placement{}, false
+		return Placement{}, NoTarget
 	}
 	if !r.Again {
 		s.budget.Deposit(1)
-	} else if !r.Free && !s.budget.Withdraw() {
-		return Placement{}, false
+	} else if !r.Free && !p.withdraw(s, r.Hedge) {
+		return Placement{}, NoBudget
 	}
 	record := r.Targets[i]
 	t := p.target(record.ID)
@@ -160,7 +179,14 @@
 	}
 	t.inFlight++
 	factor := s.choice.Started(now, p.candidate(record), "")
-	return Placement{Record: record, Started: now, factor: factor, target: t}, true
+	return Placement{Record: record, Started: now, factor: factor, target: t}, Placed
+}
+
+func (p *Placer) withdraw(s *service, hedge bool) bool {
+	if hedge {
+		return s.budget.WithdrawAbove(p.config.HedgeReserve)
+	}
+	return s.budget.Withdraw()
 }
 
 func (p *Placer) choose(now time.Time, s *service, r Request) (int, bool) {
@@ -176,8 +202,9 @@
 		}
 		return false
 	}
+	failing := p.failingBound(now, r.Targets, tried)
 	unfit := func(id string) bool {
-		return tried(id) || p.silent(now, p.target(id)) || p.busy(id) || now.Before(s.fullUntil[id])
+		return tried(id) || p.failures(now, p.target(id)) > failing || p.silent(now, p.target(id)) || p.busy(id) || now.Before(s.fullUntil[id])
 	}
 	if i, ok := s.choice.Pick(now, p.rng, candidates, unfit); ok {
 		return i, true
@@ -189,6 +216,35 @@
 	return s.choice.Pick(now, p.rng, candidates, tried)
 }
 
+// failingBound returns the rate of failures above which a target is avoided.
+func (p *Placer) failingBound(now time.Time, targets []registrar.Record, tried func(string) bool) float64 {
+	least := 1.0
+	for _, record := range targets {
+		if !tried(record.ID) {
+			least = min(least, p.failures(now, p.target(record.ID)))
+		}
+	}
+	return max(p.config.FailingRate, 2*least)
+}
+
+// failures returns the recent rate of failures of a target.
+func (p *Placer) failures(now time.Time, t *target) float64 {
+	if t.failing == 0 {
+		return 0
+	}
+	lives := float64(now.Sub(t.judged)) / float64(p.config.FailingLife)
+	return t.failing * math.Exp2(-lives)
+}
+
+// judge takes a good or bad end into the rate of failures.
+func (p *Placer) judge(now time.Time, t *target, bad bool) {
+	rate := (1 - usualWeight) * p.failures(now, t)
+	if bad {
+		rate += usualWeight
+	}
+	t.failing, t.judged = rate, now
+}
+
 func (p *Placer) candidate(record registrar.Record) selector.Candidate {
 	since := record.ColdUntil.Add(-p.config.Selector.Ramp)
 	return selector.Candidate{
@@ -247,6 +303,7 @@
 	switch result {
 	case Answered:
 		t.alive = now
+		p.judge(now, t, false)
 		t.usual = observe(t.usual, latency, usualWeight)
 		r.usual = observe(r.usual, latency, routeWeight)
 		p.tellLatency(now, s, r, placed, latency)
@@ -257,6 +314,7 @@
 		s.choice.Released(id)
 		s.fullUntil[id] = now.Add(max(t.usual, p.config.SilentFloor))
 	case Failed, Lost, Unsent:
+		p.judge(now, t, true)
 		s.choice.Failed(now, id)
 	case Abandoned:
 		s.choice.Cancelled(now, id, r.relative(latency), placed.factor)
--- a/entry/responder/course.go
+++ b/entry/responder/course.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-
 	"jackdawcart.org/core/forwarder"
 	"jackdawcart.org/core/merger"
 	"jackdawcart.org/core/placer"
@@ -229,4 +228,3 @@
 	writeBody(w, answer.Status, answer.Body)
 	return answer.Status
 }
-
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -25,6 +25,7 @@
 		zap.Stringer("verdict", verdict), zap.Int("status", status), zap.Duration("took", took),
 		zap.Duration("aim", c.route.Aim), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
 		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote),
+		zap.Int("no-target", c.query.Denied().NoTarget), zap.Int("no-budget", c.query.Denied().NoBudget),
 		zap.Bool("caller-left", c.left), zap.String("troubles", c.troubles(c.arrived.Add(took))))
 }
 
