Look for targets that are down by connections, and refuse what needs them

Cause: in litoral's incident every target of one shard refused connections and a second shard was short, so 9 of 10 could not be reached. Requests were sent to the other shards all the same and held until their deadline (75 tries to place a shard for each). A failed connection now makes a target unreachable until one opens again, which the pool tries by itself; without enough reachable shards a request is refused before any work. Tests: TestUnreachableShardsAreRefusedAtOnce, TestShardThatGoesDownIsNotWaitedFor, TestTargetThatIsDown, TestTargetIsFoundAgain.

--- a/core/forwarder/forwarder_test.go
+++ b/core/forwarder/forwarder_test.go
@@ -23,14 +23,17 @@
 	delay  time.Duration
 	refuse bool
 	placed int
+	down   map[string]bool
 }
 
+func (f *fakePlacing) Reachable(target string) bool { return !f.down[target] }
+
 func (f *fakePlacing) Place(now time.Time, r placer.Request) (placer.Placement, placer.Outcome) {
 	if f.refuse && r.Again {
 		return placer.Placement{}, placer.NoTarget
 	}
 	for _, record := range r.Targets {
-		tried := false
+		tried := f.down[record.ID]
 		for _, id := range r.Avoid {
 			tried = tried || id == record.ID
 		}
@@ -166,3 +169,30 @@
 	check(t, "sends", len(q.Start(at(0))), 0)
 	check(t, "verdict", q.Judge(at(0)), forwarder.NotRun)
 }
+
+// When every target of too many shards is known to be down, the caller is
+// refused before any work begins. Such requests were sent, ran at the other
+// shards and were held until their deadline.
+func TestUnreachableShardsAreRefusedAtOnce(t *testing.T) {
+	w := newWorld(4)
+	w.placing.down = map[string]bool{}
+	for _, shard := range []string{"shard-1", "shard-2"} {
+		for _, record := range w.directory[shard] {
+			w.placing.down[record.ID] = true
+		}
+	}
+	q := w.query()
+	check(t, "sends", len(q.Start(at(0))), 0)
+	check(t, "verdict", q.Judge(at(0)), forwarder.NotRun)
+}
+
+// A shard whose last target goes down while the request runs is not waited for.
+func TestShardThatGoesDownIsNotWaitedFor(t *testing.T) {
+	w := newWorld(2)
+	w.placing.down = map[string]bool{"shard-0-1": true, "shard-0-2": true}
+	q := w.query()
+	q.Start(at(0))
+	w.placing.down["shard-0-0"] = true
+	check(t, "retries", len(q.Failed(at(5), 0, 0, placer.Unsent)), 0)
+	check(t, "verdict", q.Judge(at(5)), forwarder.Unserved)
+}
--- a/core/forwarder/query.go
+++ b/core/forwarder/query.go
@@ -15,6 +15,8 @@
 type Placing interface {
 	Place(now time.Time, r placer.Request) (placer.Placement, placer.Outcome)
 	HedgeAt(route string, aim time.Duration, placed placer.Placement) time.Time
+	// Reachable reports whether connections to a target open.
+	Reachable(target string) bool
 }
 
 // Directory lists the targets of a service that take new work.
@@ -157,7 +159,7 @@
 func (q *Query) placeable() int {
 	n := 0
 	for i := range q.shards {
-		if len(q.directory.Targets(q.shards[i].service)) > 0 {
+		if !q.exhausted(&q.shards[i]) {
 			n++
 		}
 	}
@@ -188,7 +190,7 @@
 func (q *Query) exhausted(s *shard) bool {
 	targets := q.directory.Targets(s.service)
 	for _, t := range targets {
-		if !contains(s.tried, t.ID) {
+		if !contains(s.tried, t.ID) && q.placing.Reachable(t.ID) {
 			return false
 		}
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -94,6 +94,8 @@
 	// failing is the rate of failures as of the last end, judged.
 	failing float64
 	judged  time.Time
+	// down is true while no connection to the target opens.
+	down bool
 }
 
 // New returns a placer of a process in the given failure domain.
@@ -195,6 +197,9 @@
 		candidates[i] = p.candidate(record)
 	}
 	tried := func(id string) bool {
+		if p.target(id).down {
+			return true
+		}
 		for _, avoided := range r.Avoid {
 			if avoided == id {
 				return true
@@ -399,6 +404,21 @@
 	return r
 }
 
+// SetReachable takes whether a connection to the target opened.
+func (p *Placer) SetReachable(id string, reachable bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target(id).down = !reachable
+}
+
+// Reachable reports whether the last connection to the target opened.
+func (p *Placer) Reachable(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.targets[id]
+	return !ok || !t.down
+}
+
 // Forget drops what is known of a target that has left, and of its successor
 // under the same identity.
 func (p *Placer) Forget(service, id string) {
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -241,3 +241,18 @@
 		t.Fatal("the repeat of a lost answer found no budget after hedges")
 	}
 }
+
+// A target that refuses connections gets no work until a connection opens
+// again, also when no other target is left.
+func TestTargetThatIsDown(t *testing.T) {
+	l := newLoad(1)
+	request := placer.Request{Service: "shard", Targets: l.targets, MaxConnections: 100}
+	l.placer.SetReachable("i-0", false)
+	if _, outcome := l.placer.Place(l.now, request); outcome != placer.NoTarget {
+		t.Fatalf("outcome %v at a target that is down", outcome)
+	}
+	l.placer.SetReachable("i-0", true)
+	if _, outcome := l.placer.Place(l.now, request); outcome != placer.Placed {
+		t.Fatalf("outcome %v at a target that is up again", outcome)
+	}
+}
--- a/entry/courier/courier_test.go
+++ b/entry/courier/courier_test.go
@@ -53,7 +53,7 @@
 
 func pool(t *testing.T, address netip.AddrPort, limit int) *courier.Pool {
 	t.Helper()
-	couriers := courier.New(dial, func(string) {})
+	couriers := courier.New(dial, func(string) {}, func(string, bool) {})
 	t.Cleanup(couriers.Close)
 	return couriers.Pool("i-1", address, limit)
 }
@@ -267,3 +267,30 @@
 	}
 	check(t, "connections", len(connections), 2)
 }
+
+// A target that is down is looked for until it is back, so that no request has
+// to find out.
+func TestTargetIsFoundAgain(t *testing.T) {
+	states := make(chan bool, 100)
+	couriers := courier.New(dial, func(string) {}, func(_ string, up bool) { states <- up })
+	t.Cleanup(couriers.Close)
+	tgt := newTarget(t, func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) })
+	tgt.listener.Close()
+	couriers.Pool("i-1", tgt.address, 1).Warm()
+	check(t, "first", <-states, false)
+	listener, err := net.Listen("tcp", tgt.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	for deadline := time.After(5 * time.Second); ; {
+		select {
+		case up := <-states:
+			if up {
+				return
+			}
+		case <-deadline:
+			t.Fatal("the target was not found again")
+		}
+	}
+}
--- a/entry/courier/exchange.go
+++ b/entry/courier/exchange.go
@@ -82,15 +82,17 @@
 type Couriers struct {
 	dial  Dialer
 	count func(event string)
+	// reach hears whether a connection to a target opened.
+	reach func(target string, opened bool)
 
 	mu    sync.Mutex
 	pools map[string]*Pool
 }
 
 // New returns the couriers of a process; count hears of opened and lost
-// connections.
-func New(dial Dialer, count func(event string)) *Couriers {
-	return &Couriers{dial: dial, count: count, pools: make(map[string]*Pool)}
+// connections, reach of whether targets can be reached.
+func New(dial Dialer, count func(event string), reach func(target string, opened bool)) *Couriers {
+	return &Couriers{dial: dial, count: count, reach: reach, pools: make(map[string]*Pool)}
 }
 
 // Pool returns the pool of a target, which holds at most limit connections.
@@ -105,7 +107,7 @@
 	if ok {
 		go p.Close()
 	}
-	p = newPool(c.dial, c.count, address, limit)
+	p = newPool(c.dial, c.count, func(opened bool) { c.reach(id, opened) }, address, limit)
 	c.pools[id] = p
 	return p
 }
--- a/entry/courier/pool.go
+++ b/entry/courier/pool.go
@@ -26,6 +26,7 @@
 type Pool struct {
 	dial    Dialer
 	count   func(event string)
+	reach   func(opened bool)
 	address netip.AddrPort
 
 	mu      sync.Mutex
@@ -33,12 +34,14 @@
 	closed  bool
 	total   int
 	dialing int
-	idle    []*connection
-	queue   []*Exchange
+	// misses counts the failed connections in a row.
+	misses int
+	idle   []*connection
+	queue  []*Exchange
 }
 
-func newPool(dial Dialer, count func(string), address netip.AddrPort, limit int) *Pool {
-	return &Pool{dial: dial, count: count, address: address, limit: max(limit, 1)}
+func newPool(dial Dialer, count func(string), reach func(bool), address netip.AddrPort, limit int) *Pool {
+	return &Pool{dial: dial, count: count, reach: reach, address: address, limit: max(limit, 1)}
 }
 
 func (p *Pool) setLimit(limit int) {
@@ -126,33 +129,56 @@
 	if err != nil {
 		p.total--
 		p.count("dial-failed")
-		unsent := p.failWaiting()
+		unsent, lost := p.failWaiting()
 		p.mu.Unlock()
+		if lost {
+			p.reach(false)
+			p.lookAgain()
+		}
 		for _, e := range unsent {
 			e.done(Reply{Result: placer.Unsent, Err: &Error{Op: "dial", Kind: KindUnreachable, Err: err}})
 		}
 		return
 	}
+	p.misses = 0
 	c := newConnection(p, raw)
 	next := p.offer(time.Now(), c)
 	p.mu.Unlock()
+	p.reach(true)
 	if next != nil {
 		c.write(next)
 	}
 	c.read()
 }
 
-// failWaiting takes the exchanges that no connection will carry.
-func (p *Pool) failWaiting() []*Exchange {
-	if p.total > 0 {
-		return nil
+// failWaiting takes the exchanges that no connection will carry, and reports
+// whether the target is out of reach.
+func (p *Pool) failWaiting() (unsent []*Exchange, lost bool) {
+	if p.total > 0 || p.closed {
+		return nil, false
 	}
-	unsent := p.queue
+	unsent = p.queue
 	p.queue = nil
 	for _, e := range unsent {
 		e.state = ended
 	}
-	return unsent
+	return unsent, true
+}
+
+// Pauses before a target that is down is looked for again.
+const (
+	firstLook = 100 * time.Millisecond
+	lastLook  = 800 * time.Millisecond
+)
+
+// lookAgain opens a connection later, so that no request has to find out
+// whether the target is back.
+func (p *Pool) lookAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pause := min(firstLook<<min(p.misses, 10), lastLook)
+	p.misses++
+	time.AfterFunc(pause, p.Warm)
 }
 
 // offer gives a free connection the next waiting exchange, keeps it idle, or
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -113,7 +113,7 @@
 	e.place = placer.New(placer.DefaultConfig(), e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.bounds.EntryVMs = assumedEntryVMs
 	e.setBounds(e.platform)
-	e.couriers = courier.New(dial, func(event string) { e.metrics.Scope.Counter("connections_" + event).Inc(1) })
+	e.couriers = courier.New(dial, func(event string) { e.metrics.Scope.Counter("connections_" + event).Inc(1) }, e.onReach)
 	config := responder.DefaultConfig()
 	config.Query.CallerTime = e.own.CallerTime
 	e.respond = responder.New(config, responder.Parts{
@@ -184,6 +184,14 @@
 	e.couriers.Pool(record.ID, record.Address, e.place.Connections(service.MaxConnections)).Warm()
 }
 
+// onReach hears whether a connection to a target opened.
+func (e *entry) onReach(target string, opened bool) {
+	if e.place.Reachable(target) != opened {
+		e.log.Info("target reachability", zap.String("target", target), zap.Bool("reachable", opened))
+	}
+	e.place.SetReachable(target, opened)
+}
+
 // targetKeepAlive finds connections that have gone silent, about three seconds
 // after the last sign of life.
 var targetKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
