Grant part of the extra repeats evenly over the window

A fifth of the extra is now granted evenly, a process starts with half of its burst, and the reserve counts beyond one repeat.

--- a/core/hedger/hedger.go
+++ b/core/hedger/hedger.go
@@ -105,13 +105,16 @@
 	s.tokens = min(s.tokens+float64(subs)*s.config.Budget, s.config.Burst)
 }
 
+// Grant adds budget that is not tied to sub-requests.
+func (s *State) Grant(tokens float64) { s.tokens = min(s.tokens+tokens, s.config.Burst) }
+
 // Withdraw takes the budget for one hedge or retry, if there is any.
 func (s *State) Withdraw() bool { return s.WithdrawAbove(0) }
 
-// WithdrawAbove takes the budget for one hedge or retry if more than the given
-// share of the burst is left after it.
+// WithdrawAbove takes the budget for one hedge or retry if the given share of
+// what an unused budget has beyond it is left.
 func (s *State) WithdrawAbove(share float64) bool {
-	if s.tokens < 1+share*s.config.Burst {
+	if s.tokens < 1+share*max(s.config.Burst-1, 0) {
 		return false
 	}
 	s.tokens--
--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -29,8 +29,11 @@
 	// used; the rest covers the difference between the windows of the judge and
 	// of the process.
 	BudgetShare float64
-	// HedgeReserve is the share of an unused budget that hedges leave to repeats
-	// of answers that will not come.
+	// SteadyShare is the part of the extra repeats that is granted evenly over
+	// the window; the rest may be used at once.
+	SteadyShare float64
+	// HedgeReserve is the share of an unused budget beyond one repeat that hedges
+	// leave to repeats of answers that will not come.
 	HedgeReserve float64
 	// FailingRate is the rate of failures from which a target is avoided while
 	// another one has at most half of it.
@@ -68,7 +71,8 @@
 		SilentFloor:     8 * time.Millisecond,
 		DelayShare:      0.3,
 		BudgetShare:     0.9,
-		HedgeReserve:    0.5,
+		SteadyShare:     0.2,
+		HedgeReserve:    0.25,
 		FailingRate:     0.1,
 		FailingLife:     3 * time.Second,
 		ConnectionShare: 0.85,
@@ -87,6 +91,8 @@
 	// RepeatExtra is the number of requests that may be sent again besides, in
 	// each window and over all entry VMs.
 	RepeatExtra float64
+	// RepeatWindow is the length of that window.
+	RepeatWindow time.Duration
 	// EntryVMs is the number of entry VMs that share the bounds.
 	EntryVMs int
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -78,6 +78,8 @@
 type service struct {
 	choice *selector.State
 	budget *hedger.State
+	// granted is when the budget last got its even part of the extra.
+	granted time.Time
 	// fullUntil is when a target that refused for want of room may have some.
 	fullUntil map[string]time.Time
 }
@@ -124,7 +126,20 @@
 
 func (p *Placer) setBudget(budget *hedger.State) {
 	budget.SetBudget(p.limits.RepeatRatio * p.config.BudgetShare)
-	budget.SetBurst(max(p.config.BudgetShare*p.limits.RepeatExtra/float64(p.limits.EntryVMs), 1))
+	budget.SetBurst(max((1-p.config.SteadyShare)*p.extra(), 1))
+}
+
+// extra is what this process may repeat in a window whatever it was asked.
+func (p *Placer) extra() float64 {
+	return p.config.BudgetShare * p.limits.RepeatExtra / float64(p.limits.EntryVMs)
+}
+
+// accrue grants the even part of the extra for the time that has passed.
+func (p *Placer) accrue(now time.Time, s *service) {
+	if p.limits.RepeatWindow > 0 && !s.granted.IsZero() {
+		s.budget.Grant(p.config.SteadyShare * p.extra() * float64(now.Sub(s.granted)) / float64(p.limits.RepeatWindow))
+	}
+	s.granted = now
 }
 
 // Connections returns how many connections this process may hold to a target
@@ -164,6 +179,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.service(r.Service)
+	p.accrue(now, s)
 	i, ok := p.choose(now, s, r)
 	if !ok {
 		return Placement{}, NoTarget
@@ -377,6 +393,9 @@
 			fullUntil: make(map[string]time.Time),
 		}
 		p.setBudget(s.budget)
+		// A process that has just started knows nothing of what it repeated before
+		// its end, so it begins with half of what it may use at once.
+		s.budget.Grant((1 - p.config.SteadyShare) * p.extra() / 2)
 		p.services[name] = s
 	}
 	return s
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -256,3 +256,70 @@
 		t.Fatalf("outcome %v at a target that is up again", outcome)
 	}
 }
+
+// At 64 entry VMs each sends two sub-requests a second to a shard. A tenth of
+// them needs a hedge, and both the ratio and the extra of the budget must reach
+// the VM that needs them; nearly all were denied when the extra was a burst that
+// only the ratio filled.
+func TestBudgetOfManyEntryVMs(t *testing.T) {
+	l := newLoad(3)
+	l.placer.SetLimits(placer.Limits{
+		RepeatRatio: 0.2, RepeatExtra: 168, RepeatWindow: 10 * time.Second, EntryVMs: 64,
+	})
+	granted, wanted := 0, 0
+	for range 600 {
+		request := placer.Request{Service: "shard", Targets: l.targets, MaxConnections: 10000}
+		first, outcome := l.placer.Place(l.now, request)
+		if outcome != placer.Placed {
+			t.Fatal("no placement")
+		}
+		if l.rng.IntN(10) == 0 {
+			request.Again, request.Hedge, request.Avoid = true, true, []string{first.Record.ID}
+			wanted++
+			if second, outcome := l.placer.Place(l.now, request); outcome == placer.Placed {
+				granted++
+				l.placer.Ended(l.now.Add(10*time.Millisecond), longRoute, aim, second, placer.Answered)
+			}
+		}
+		l.placer.Ended(l.now.Add(10*time.Millisecond), longRoute, aim, first, placer.Answered)
+		l.now = l.now.Add(500 * time.Millisecond)
+	}
+	if granted < wanted*8/10 {
+		t.Fatalf("%d of %d hedges granted, want 8 of 10", granted, wanted)
+	}
+}
+
+// Whatever the mixture of traffic and repeats, no window holds more repeats than
+// the share of one entry VM allows.
+func TestBudgetInEveryWindow(t *testing.T) {
+	l := newLoad(3)
+	limits := placer.Limits{RepeatRatio: 0.2, RepeatExtra: 168, RepeatWindow: 10 * time.Second, EntryVMs: 8}
+	l.placer.SetLimits(limits)
+	var firsts, repeats []time.Time
+	for range 20000 {
+		request := placer.Request{Service: "shard", Targets: l.targets, MaxConnections: 1 << 30}
+		// Traffic swings between 10 and 100 requests a second.
+		l.now = l.now.Add(time.Duration(10+l.rng.IntN(90)) * time.Millisecond)
+		firsts = append(firsts, l.now)
+		l.placer.Place(l.now, request)
+		request.Again = true
+		if _, outcome := l.placer.Place(l.now, request); outcome == placer.Placed {
+			repeats = append(repeats, l.now)
+		}
+	}
+	in := func(times []time.Time, from time.Time) int {
+		n := 0
+		for _, at := range times {
+			if !at.Before(from) && at.Before(from.Add(limits.RepeatWindow)) {
+				n++
+			}
+		}
+		return n
+	}
+	for from := start; from.Before(l.now); from = from.Add(5 * time.Second) {
+		allowed := limits.RepeatRatio*float64(in(firsts, from)) + limits.RepeatExtra/float64(limits.EntryVMs)
+		if got := in(repeats, from); float64(got) > allowed {
+			t.Fatalf("%d repeats in the window at %v, allowed %.1f", got, from.Sub(start), allowed)
+		}
+	}
+}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -137,6 +137,7 @@
 	e.boundsMu.Lock()
 	defer e.boundsMu.Unlock()
 	e.bounds.RepeatRatio, e.bounds.RepeatExtra = platform.RepeatRatio, platform.RepeatExtra
+	e.bounds.RepeatWindow = platform.RepeatWindow
 	e.place.SetLimits(e.bounds)
 }
 
