--- a/entry/courier/pool.go
+++ b/entry/courier/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -36,8 +37,10 @@
 	dialing int
 	// misses counts the failed connections in a row.
 	misses int
-	idle   []*connection
-	queue  []*Exchange
+	// keep is true for a target to which a connection is kept open.
+	keep  bool
+	idle  []*connection
+	queue []*Exchange
 }
 
 func newPool(dial Dialer, count func(string), reach func(bool), address netip.AddrPort, limit int) *Pool {
@@ -73,8 +76,28 @@
 	return e
 }
 
-// Warm opens a connection if there is none.
+// warmSpread is the time over which connections are opened ahead of need. All
+// entry VMs hear of a target at once, and each new connection takes a slot of it
+// for a moment.
+const warmSpread = 2 * time.Second
+
+// Warm opens a connection within a short time if there is none, and another one
+// whenever the target ends it for being idle.
 func (p *Pool) Warm() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep = true
+	p.warmLater()
+}
+
+func (p *Pool) warmLater() {
+	if p.keep && !p.closed && p.total == 0 {
+		time.AfterFunc(rand.N(warmSpread), p.look)
+	}
+}
+
+// look opens a connection if there is none.
+func (p *Pool) look() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.closed && p.total == 0 {
@@ -178,7 +201,7 @@
 	defer p.mu.Unlock()
 	pause := min(firstLook<<min(p.misses, 10), lastLook)
 	p.misses++
-	time.AfterFunc(pause, p.Warm)
+	time.AfterFunc(pause, p.look)
 }
 
 // offer gives a free connection the next waiting exchange, keeps it idle, or
@@ -212,6 +235,7 @@
 	c.raw.Close()
 	if !p.closed {
 		p.dialIfNeeded()
+		p.warmLater()
 	}
 }
 
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -176,9 +176,10 @@
 	}
 }
 
-// warmTarget opens a connection to a target that a route leads to.
+// warmTarget keeps a connection open to a target of the own failure domain that
+// a route leads to. The others are rarely asked.
 func (e *entry) warmTarget(table *router.Table, record registrar.Record) {
-	if table == nil || record.Draining || !table.Leads(record.Service) {
+	if table == nil || record.Draining || record.Domain != e.platform.Domain || !table.Leads(record.Service) {
 		return
 	}
 	service, _ := table.Service(record.Service)
