--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -92,3 +92,16 @@
 	again.Target.Born = start.Add(time.Second)
 	check(t, "change", b.Put(start, again).Change, registrar.Restarted)
 }
+
+// While the store was down all leases lapsed. The survivors must not share what
+// is meant for all among those that came back first.
+func TestCensusHoldsTheMissing(t *testing.T) {
+	c := registrar.NewCensus(10 * time.Second)
+	c.Replace(start, []string{"a", "b", "c"})
+	c.Replace(start.Add(time.Second), []string{"a"})
+	check(t, "after the lapse", c.Count(start.Add(2*time.Second)), 3)
+	c.Present("b")
+	check(t, "after the hold", c.Count(start.Add(12*time.Second)), 2)
+	c.Missing(start.Add(12*time.Second), "b")
+	check(t, "after a loss", c.Count(start.Add(23*time.Second)), 1)
+}
--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -1,10 +1,11 @@
-// Package announcer makes the entry VM known in the platform's store and counts
-// the others, with whom it shares the targets' connections and the budget of
+// Package announcer makes the entry VM known in the platform's store to the
+// others, with whom it shares the targets' connections and the budget of
 // repeated work.
 package announcer
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,13 +18,15 @@
 // prefix begins the keys of the entry VMs; the rest is the VM's name.
 const prefix = "entry-vms/"
 
+// VM returns the entry VM that is announced under a key.
+func VM(key string) (string, bool) { return strings.CutPrefix(key, prefix) }
+
 // Store is what the announcer calls.
 type Store interface {
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 	Renew(ctx context.Context, lease uint64) error
 	End(ctx context.Context, lease uint64) error
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
-	List(ctx context.Context, prefix string, freshness storer.Freshness) (storer.Listing, error)
 }
 
 // Config holds the periods of the announcer.
@@ -35,54 +38,42 @@
 	Renew time.Duration
 	// Probe is the pause between calls while the store is out of reach.
 	Probe time.Duration
-	// Count is the pause between readings of the other entries.
-	Count time.Duration
 }
 
 // DefaultConfig returns the periods used in production.
 func DefaultConfig() Config {
 	return Config{
 		Lease: 8 * time.Second,
-		Renew: 1500 * time.Millisecond,
+		Renew: 2500 * time.Millisecond,
 		Probe: 500 * time.Millisecond,
-		Count: 5 * time.Second,
 	}
 }
 
 // Announcer keeps the own entry alive until its context ends.
 type Announcer struct {
-	config  Config
-	vm      string
-	store   Store
-	link    *supervisor.Link
-	timers  *timer.Service
-	log     *zap.Logger
-	onCount func(entryVMs int)
+	config Config
+	vm     string
+	store  Store
+	link   *supervisor.Link
+	timers *timer.Service
+	log    *zap.Logger
 
 	lease uint64
-	count int
 }
 
-// New returns the announcer of a VM; onCount hears of each new number of VMs.
-func New(config Config, vm string, store Store, link *supervisor.Link, timers *timer.Service, log *zap.Logger, onCount func(int)) *Announcer {
-	return &Announcer{config: config, vm: vm, store: store, link: link, timers: timers, log: log, onCount: onCount}
+// New returns the announcer of a VM.
+func New(config Config, vm string, store Store, link *supervisor.Link, timers *timer.Service, log *zap.Logger) *Announcer {
+	return &Announcer{config: config, vm: vm, store: store, link: link, timers: timers, log: log}
 }
 
 // Run announces the VM, and takes the entry back at the end of the context.
 func (a *Announcer) Run(ctx context.Context) {
 	tick := a.timers.After(0)
 	defer tick.Stop()
-	var counted time.Time
 	for {
 		select {
-		case now := <-tick.C:
-			err := a.renew(ctx)
-			if err == nil && now.Sub(counted) >= a.config.Count {
-				if err = a.countVMs(ctx); err == nil {
-					counted = now
-				}
-			}
-			tick.Reset(a.observe(ctx, err))
+		case <-tick.C:
+			tick.Reset(a.observe(ctx, a.renew(ctx)))
 		case <-ctx.Done():
 			a.leave()
 			return
@@ -111,19 +102,6 @@
 	return nil
 }
 
-func (a *Announcer) countVMs(ctx context.Context) error {
-	listing, err := a.store.List(ctx, prefix, storer.Lagging)
-	if err != nil {
-		return err
-	}
-	if count := max(len(listing.Items), 1); count != a.count {
-		a.log.Info("entry VMs counted", zap.Int("before", a.count), zap.Int("now", count), zap.Uint64("revision", listing.Revision))
-		a.count = count
-		a.onCount(count)
-	}
-	return nil
-}
-
 // observe takes the outcome of a round and returns the pause before the next.
 func (a *Announcer) observe(ctx context.Context, err error) time.Duration {
 	switch {
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -10,6 +10,7 @@
 	"jackdawcart.org/core/router"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
+	"jackdawcart.org/entry/announcer"
 	"jackdawcart.org/platform/decoder"
 	"jackdawcart.org/platform/storer"
 )
@@ -32,52 +33,102 @@
 	Retry time.Duration
 	// Hold is how long a registration may be missing after an outage.
 	Hold time.Duration
+	// CountHold is how long an entry VM counts that is missing.
+	CountHold time.Duration
 }
 
-// DefaultConfig returns the constants used in production.
-func DefaultConfig() Config {
+// DefaultConfig returns the constants used in production. A watch can go deaf
+// while the store drops its history, and a change that was made meanwhile has to
+// be known when the calm that follows such trouble is over.
+func DefaultConfig(calm time.Duration) Config {
 	return Config{
-		// A watch can go deaf while the store drops its history, and a change has
-		// to be known within three seconds of the end of such trouble.
-		WatchWait: 4 * time.Second,
-		Gather:    800 * time.Millisecond,
+		WatchWait: calm,
+		Gather:    1200 * time.Millisecond,
 		Retry:     300 * time.Millisecond,
 		// Registrations are back two seconds after the store is.
 		Hold: 2300 * time.Millisecond,
+		// Two times to live of an entry VM's lease.
+		CountHold: 16 * time.Second,
 	}
 }
 
 // Follower follows the store until its context ends.
 type Follower struct {
-	config Config
-	store  Store
-	link   *supervisor.Link
-	state  *State
-	timers *timer.Service
-	log    *zap.Logger
-	// onTable and onTarget hear of each change.
-	onTable  func(*router.Table)
-	onTarget func(registrar.Event)
+	config  Config
+	store   Store
+	link    *supervisor.Link
+	state   *State
+	timers  *timer.Service
+	log     *zap.Logger
+	hear    Listeners
+	census  *registrar.Census
+	counted int
+}
+
+// Listeners hear of each change of what is believed.
+type Listeners struct {
+	Table    func(*router.Table)
+	Target   func(registrar.Event)
+	EntryVMs func(count int)
 }
 
 // New returns a follower that keeps state current.
 func New(config Config, store Store, link *supervisor.Link, state *State, timers *timer.Service, log *zap.Logger,
-	onTable func(*router.Table), onTarget func(registrar.Event),
+	hear Listeners,
 ) *Follower {
 	return &Follower{
-		config: config, store: store, link: link, state: state, timers: timers, log: log,
-		onTable: onTable, onTarget: onTarget,
+		config: config, store: store, link: link, state: state, timers: timers, log: log, hear: hear,
+		census: registrar.NewCensus(config.CountHold),
 	}
 }
 
-// FollowConfiguration keeps the configuration current.
-func (f *Follower) FollowConfiguration(ctx context.Context) {
-	f.follow(ctx, stream{prefix: decoder.ConfigurationKey, replace: f.takeTables, change: f.takeTables})
+// everything is the prefix of all keys. One watch of all of them costs one call,
+// two watches cost two.
+const everything = ""
+
+// Run keeps the configuration and the registrations current.
+func (f *Follower) Run(ctx context.Context) {
+	f.follow(ctx, stream{prefix: everything, replace: f.replaceAll, change: f.changeAll})
 }
 
-// FollowTargets keeps the registrations current.
-func (f *Follower) FollowTargets(ctx context.Context) {
-	f.follow(ctx, stream{prefix: decoder.RegistrationPrefix, replace: f.replaceTargets, change: f.changeTargets})
+func (f *Follower) replaceAll(listing storer.Listing) {
+	f.takeTables(listing)
+	f.replaceTargets(listing)
+	var names []string
+	for _, item := range listing.Items {
+		if name, ok := announcer.VM(item.Key); ok {
+			names = append(names, name)
+		}
+	}
+	f.census.Replace(f.timers.Now(), names)
+	f.count()
+}
+
+func (f *Follower) changeAll(listing storer.Listing) {
+	f.takeTables(listing)
+	f.changeTargets(listing)
+	for _, item := range listing.Items {
+		name, ok := announcer.VM(item.Key)
+		switch {
+		case !ok:
+		case item.Gone:
+			f.census.Missing(f.timers.Now(), name)
+		default:
+			f.census.Present(name)
+		}
+	}
+	f.count()
+}
+
+// count tells how many entry VMs there are when that has changed.
+func (f *Follower) count() {
+	count := max(f.census.Count(f.timers.Now()), 1)
+	if count == f.counted {
+		return
+	}
+	f.log.Info("entry VMs counted", zap.Int("before", f.counted), zap.Int("now", count))
+	f.counted = count
+	f.hear.EntryVMs(count)
 }
 
 // stream is a range of keys and what is done with its contents.
@@ -115,8 +166,8 @@
 		case err == nil:
 			f.succeeded()
 			revision = listing.Revision
+			s.change(listing)
 			if len(listing.Items) > 0 {
-				s.change(listing)
 				f.pause(ctx, f.config.Gather)
 			}
 		case storer.IsKind(err, storer.KindHistoryLost):
@@ -171,7 +222,7 @@
 		}
 		f.log.Info("configuration in force", zap.Int64("version", table.Version),
 			zap.Uint64("revision", item.Revision), zap.Int("routes", table.Routes()))
-		f.onTable(table)
+		f.hear.Table(table)
 	}
 }
 
@@ -232,7 +283,7 @@
 		}
 		f.log.Info("target "+e.Change.String(), zap.String("target", e.Record.ID), zap.String("service", e.Record.Service),
 			zap.Stringer("address", e.Record.Address), zap.String("domain", e.Record.Domain), zap.Uint64("revision", e.Record.Revision))
-		f.onTarget(e)
+		f.hear.Target(e)
 	}
 }
 
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -103,10 +103,11 @@
 func (e *entry) assembleFollowing() {
 	e.store = storer.NewClient(e.platform.Store, e.own.StoreTimeout, e.countCall)
 	e.link = supervisor.NewLink(e.timers.Now(), longOutage)
-	config := follower.DefaultConfig()
+	config := follower.DefaultConfig(e.platform.Calm)
 	e.state = follower.NewState(config.Hold)
-	e.follow = follower.New(config, e.store, e.link, e.state, e.timers, e.log, e.onTable, e.onTarget)
-	e.announce = announcer.New(announcer.DefaultConfig(), e.platform.VM, e.store, e.link, e.timers, e.log, e.onCount)
+	e.follow = follower.New(config, e.store, e.link, e.state, e.timers, e.log,
+		follower.Listeners{Table: e.onTable, Target: e.onTarget, EntryVMs: e.onCount})
+	e.announce = announcer.New(announcer.DefaultConfig(), e.platform.VM, e.store, e.link, e.timers, e.log)
 }
 
 func (e *entry) assembleServing() {
@@ -210,7 +211,7 @@
 	var running, writing sync.WaitGroup
 	writing.Go(func() { e.lines.Run(logging, os.Stdout) })
 	for _, duty := range []func(context.Context){
-		e.follow.FollowConfiguration, e.follow.FollowTargets, e.follow.SweepHeld, e.announce.Run, e.followFiles,
+		e.follow.Run, e.follow.SweepHeld, e.announce.Run, e.followFiles,
 	} {
 		running.Go(func() { duty(duties) })
 	}
