Give a request up at its aim when no place or budget is left for it

Cause: a shard whose answer was lost waited for budget until the deadline of the caller, who could have been served elsewhere meanwhile (found by TestTooFewParts).

--- a/core/forwarder/forwarder_test.go
+++ b/core/forwarder/forwarder_test.go
@@ -196,3 +196,18 @@
 	check(t, "retries", len(q.Failed(at(5), 0, 0, placer.Unsent)), 0)
 	check(t, "verdict", q.Judge(at(5)), forwarder.Unserved)
 }
+
+// A lost answer that the budget does not allow to ask for again must not hold
+// the caller until its deadline.
+func TestNoBudgetEndsAtTheAim(t *testing.T) {
+	w := newWorld(2)
+	w.placing.refuse = true
+	q := w.query()
+	q.Start(at(0))
+	q.Answered(1, 0)
+	check(t, "retries", len(q.Failed(at(5), 0, 0, placer.Lost)), 0)
+	check(t, "early", q.Judge(at(5)), forwarder.Waiting)
+	late := at(100)
+	q.Wake(late)
+	check(t, "late", q.Judge(late), forwarder.Unserved)
+}
--- a/core/forwarder/query.go
+++ b/core/forwarder/query.go
@@ -185,7 +185,9 @@
 	if ok {
 		return append(sends, q.send(s, i, placed, reason))
 	}
-	if q.exhausted(s) {
+	// After its aim a request does not wait for a place or for budget any more:
+	// its caller hears at once and can still be served elsewhere.
+	if q.exhausted(s) || !now.Before(q.cut()) {
 		q.lose(s)
 		return sends
 	}
@@ -399,13 +401,13 @@
 		return Whole
 	case q.enough() && (open == 0 || !now.Before(q.cut())):
 		return Partial
-	case q.answered+open < q.least():
-		return q.failure()
 	case !now.Before(q.deadline):
 		if q.ran() {
 			return TimedOut
 		}
 		return NotRun
+	case q.answered+open < q.least():
+		return q.failure()
 	default:
 		return Waiting
 	}
--- a/entry/courier/connection.go
+++ b/entry/courier/connection.go
@@ -146,7 +146,6 @@
 // answer reads the answer to the exchange, past answers to other requests.
 func (c *connection) answer(e *Exchange) (reply Reply, reusable bool) {
 	for range maxStrays {
-		//nolint:bodyclose // readBody closes it; an interim answer has none.
 		response, err := http.ReadResponse(c.buffer, &http.Request{Method: e.job.Method})
 		if err != nil {
 			return unusable(err), false
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -57,11 +57,15 @@
 }
 
 // dropHistory makes a change that no waiting watch hears of.
-func (s *fakeStore) dropHistory(change func()) {
-	wake := s.wake
+func (s *fakeStore) dropHistory(key string, value any) {
+	s.mu.Lock()
+	waiting := s.wake
 	s.wake = make(chan struct{})
-	change()
-	s.wake = wake
+	s.mu.Unlock()
+	s.put(key, value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake = waiting
 	s.oldest = s.revision
 }
 
@@ -173,7 +177,7 @@
 // handling requests by the older version.
 func TestChangeWhileWatchesAreDeaf(t *testing.T) {
 	run(t, func(p *process) {
-		p.store.dropHistory(func() { p.store.put(decoder.ConfigurationKey, version(2)) })
+		p.store.dropHistory(decoder.ConfigurationKey, version(2))
 		time.Sleep(4500 * time.Millisecond)
 		if got := p.version(); got != 2 {
 			t.Fatalf("version %d is in force, want 2", got)
