--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -257,11 +257,20 @@
 	return t.failing * math.Exp2(-lives)
 }
 
+// judgeLife is the time between two ends at a target after which the later one
+// counts half. Many entry VMs ask a target rarely, and each has to learn of its
+// failures from a few ends.
+const judgeLife = 2 * time.Second
+
 // judge takes a good or bad end into the rate of failures.
 func (p *Placer) judge(now time.Time, t *target, bad bool) {
-	rate := (1 - usualWeight) * p.failures(now, t)
+	weight := usualWeight
+	if !t.judged.IsZero() {
+		weight = max(weight, 1-math.Exp2(-float64(now.Sub(t.judged))/float64(judgeLife)))
+	}
+	rate := (1 - weight) * p.failures(now, t)
 	if bad {
-		rate += usualWeight
+		rate += weight
 	}
 	t.failing, t.judged = rate, now
 }
@@ -332,6 +341,7 @@
 		delete(s.fullUntil, id)
 	case Refused:
 		t.alive = now
+		p.judge(now, t, true)
 		s.choice.Released(id)
 		s.fullUntil[id] = now.Add(max(t.usual, p.config.SilentFloor))
 	case Failed, Lost, Unsent:
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -323,3 +323,24 @@
 		}
 	}
 }
+
+// Two of three replicas shed nearly half of what they get while they look
+// healthy, and each of many entry VMs asks only twice a second. The sound
+// replica must get most of the work: a part that is shed twice is missing.
+func TestSheddingReplicasAreLeft(t *testing.T) {
+	l := newLoad(3)
+	l.work = func(route, _ string, _ time.Duration) time.Duration { return l.usualWork(route) }
+	l.result = func(target string) placer.Result {
+		if target != "i-2" && l.rng.Float64() < 0.45 {
+			return placer.Refused
+		}
+		return placer.Answered
+	}
+	l.run(4*time.Second, 500*time.Millisecond)
+	clear(l.sent)
+	l.run(60*time.Second, 500*time.Millisecond)
+	total := l.sent["i-0"] + l.sent["i-1"] + l.sent["i-2"]
+	if l.sent["i-2"] < total*6/10 {
+		t.Fatalf("%d of %d requests went to the sound replica, want 6 of 10", l.sent["i-2"], total)
+	}
+}
