--- a/core/forwarder/query.go
+++ b/core/forwarder/query.go
@@ -433,6 +433,3 @@
 
 // Missing returns the number of shards without an answer.
 func (q *Query) Missing() int { return len(q.shards) - q.answered }
-
-// Least returns the number of shards without which an answer is no success.
-func (q *Query) Least() int { return q.least() }
--- a/core/registrar/book.go
+++ b/core/registrar/book.go
@@ -98,15 +98,6 @@
 	return b.byService[service]
 }
 
-// Get returns the record of a target.
-func (b *Book) Get(id string) (Record, bool) {
-	r, ok := b.records[id]
-	if !ok {
-		return Record{}, false
-	}
-	return *r, true
-}
-
 func (b *Book) index() {
 	b.byService = make(map[string][]Record)
 	for _, r := range b.records {
--- /dev/null
+++ b/entry/configurer/configurer_test.go
@@ -0,0 +1,44 @@
+package configurer_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jackdawcart.org/entry/configurer"
+)
+
+// The file that is deployed must be valid.
+func TestDeployedSettings(t *testing.T) {
+	if _, err := configurer.Load("../../deploy/entry.hujson"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Fields that a file leaves out have their defaults.
+func TestDefaults(t *testing.T) {
+	got, err := configurer.Parse("x.hujson", []byte("// only this\n{\"caller-time\": \"5ms\",}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := configurer.Defaults()
+	want.CallerTime = 5 * time.Millisecond
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatalf("settings (-want +got):\n%s", diff)
+	}
+}
+
+// Every mistake is reported with its file, line and field.
+func TestMistakes(t *testing.T) {
+	_, err := configurer.Parse("x.hujson", []byte("{\n\"log-level\": \"loud\",\n\"metrics-port\": 99,\n\"colour\": 1\n}"))
+	if err == nil {
+		t.Fatal("no error")
+	}
+	for _, want := range []string{"x.hujson:2: log-level", "x.hujson:3: metrics-port", "colour"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("error %q does not contain %q", err, want)
+		}
+	}
+}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -37,13 +37,18 @@
 	CountHold time.Duration
 }
 
-// DefaultConfig returns the constants used in production. A watch can go deaf
-// while the store drops its history, and a change that was made meanwhile has to
-// be known when the calm that follows such trouble is over.
-func DefaultConfig(calm time.Duration) Config {
+// gatherShare is the part of the time in which a change must be in force that
+// may pass while further changes are collected.
+const gatherShare = 0.4
+
+// DefaultConfig returns the constants used in production, for the time in which
+// a change must be in force and the calm that follows trouble at the store. A
+// watch can go deaf while the store drops its history, and a change that was made
+// meanwhile has to be known when the calm is over.
+func DefaultConfig(bound, calm time.Duration) Config {
 	return Config{
 		WatchWait: calm,
-		Gather:    1200 * time.Millisecond,
+		Gather:    time.Duration(gatherShare * float64(bound)),
 		Retry:     300 * time.Millisecond,
 		// Registrations are back two seconds after the store is.
 		Hold: 2300 * time.Millisecond,
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -151,10 +151,10 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.NewService()
-		p := &process{store: newFakeStore(), state: follower.NewState(follower.DefaultConfig(4 * time.Second).Hold)}
+		p := &process{store: newFakeStore(), state: follower.NewState(follower.DefaultConfig(3*time.Second, 4*time.Second).Hold)}
 		p.link = supervisor.NewLink(timers.Now(), 2400*time.Millisecond)
 		p.store.put(decoder.ConfigurationKey, version(1))
-		f := follower.New(follower.DefaultConfig(4*time.Second), p.store, p.link, p.state, timers, zap.NewNop(),
+		f := follower.New(follower.DefaultConfig(3*time.Second, 4*time.Second), p.store, p.link, p.state, timers, zap.NewNop(),
 			follower.Listeners{Table: func(*router.Table) {}, Target: func(registrar.Event) {}, EntryVMs: func(int) {}})
 		ctx, stop := context.WithCancel(t.Context())
 		var duties sync.WaitGroup
--- a/entry/main.go
+++ b/entry/main.go
@@ -20,15 +20,18 @@
 var version = "development"
 
 func main() {
+	// Until it is taken, the signal to reload ends a process that is starting.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	if err := command(reload).Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "jackdawcart-entry:", err)
 		os.Exit(1)
 	}
 }
 
-func command() *cli.Command {
+func command(reload <-chan os.Signal) *cli.Command {
 	files := []cli.Flag{
 		&cli.StringFlag{Name: "settings", Usage: "own settings `FILE`"},
 		&cli.StringFlag{
@@ -41,14 +44,17 @@
 		Usage:   "answer callers on an entry VM",
 		Version: version,
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "answer callers until SIGTERM", Flags: files, Action: serve},
+			{Name: "serve", Usage: "answer callers until SIGTERM", Flags: files, Action: func(ctx context.Context, c *cli.Command) error {
+				return serve(ctx, c, reload)
+			}},
 			{Name: "check", Usage: "check the settings files and end", Flags: files, Action: check},
 		},
 	}
 }
 
-func serve(ctx context.Context, c *cli.Command) error {
-	return merry.Prepend(runner.Run(ctx, runner.Files{Own: c.String("settings"), Platform: c.String("platform")}, version), "serve")
+func serve(ctx context.Context, c *cli.Command, reload <-chan os.Signal) error {
+	files := runner.Files{Own: c.String("settings"), Platform: c.String("platform")}
+	return merry.Prepend(runner.Run(ctx, files, reload, version), "serve")
 }
 
 func check(_ context.Context, c *cli.Command) error {
--- a/entry/runner/reload.go
+++ b/entry/runner/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,15 +17,12 @@
 
 // followFiles reads the settings again when they change.
 func (e *entry) followFiles(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := e.timers.Every(filePeriod)
 	defer tick.Stop()
 	known := e.readFiles()
 	for {
 		select {
-		case <-hup:
+		case <-e.hup:
 			known = e.readFiles()
 			e.reload("signal")
 		case <-tick.C:
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -61,17 +61,20 @@
 	couriers *courier.Couriers
 	respond  *responder.Responder
 	ready    *readiness
+	hup      <-chan os.Signal
 
 	boundsMu sync.Mutex
 	bounds   placer.Limits
 }
 
-// Run serves until the context ends, and then finishes what has begun.
-func Run(ctx context.Context, files Files, version string) error {
+// Run serves until the context ends, and then finishes what has begun. Each
+// signal on reload makes it read its files again.
+func Run(ctx context.Context, files Files, reload <-chan os.Signal, version string) error {
 	e, err := assemble(ctx, files, version)
 	if err != nil {
 		return err
 	}
+	e.hup = reload
 	return e.serve(ctx)
 }
 
@@ -103,7 +106,7 @@
 func (e *entry) assembleFollowing() {
 	e.store = storer.NewClient(e.platform.Store, e.own.StoreTimeout, e.countCall)
 	e.link = supervisor.NewLink(e.timers.Now(), longOutage)
-	config := follower.DefaultConfig(e.platform.Calm)
+	config := follower.DefaultConfig(min(e.platform.DrainNotice, e.platform.ConfigurationBound), e.platform.Calm)
 	e.state = follower.NewState(config.Hold)
 	e.follow = follower.New(config, e.store, e.link, e.state, e.timers, e.log,
 		follower.Listeners{Table: e.onTable, Target: e.onTarget, EntryVMs: e.onCount})
@@ -145,6 +148,10 @@
 func (e *entry) countCall(call, outcome string, took time.Duration) {
 	scope := e.metrics.Scope.Tagged(map[string]string{"call": call, "outcome": outcome})
 	scope.Counter("store_calls").Inc(1)
+	if call == storer.CallWatch {
+		// A watch takes as long as nothing changes.
+		return
+	}
 	scope.Histogram("store_call_latency", meter.LatencyBuckets).RecordDuration(took)
 }
 
--- a/entry/runner/serve.go
+++ b/entry/runner/serve.go
@@ -25,13 +25,13 @@
 
 // serveHTTP serves callers, the balancer and metrics until the context ends.
 func (e *entry) serveHTTP(ctx context.Context) error {
-	limits := &limitedListener{limits: func() router.Limits {
+	limits := NewLimitedListener(func() router.Limits {
 		if table := e.state.Table(); table != nil {
 			return table.Limits
 		}
 		return router.Limits{}
-	}}
-	callers := &http.Server{Handler: e.respond, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log), ConnState: limits.onState}
+	})
+	callers := &http.Server{Handler: e.respond, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log), ConnState: limits.OnState}
 	ready := http.NewServeMux()
 	ready.Handle(decoder.ReadyPath, e.ready)
 	balancer := &http.Server{Handler: ready, ReadHeaderTimeout: time.Second}
@@ -42,7 +42,7 @@
 		address netip.AddrPort
 		wrap    func(net.Listener) net.Listener
 	}{
-		{callers, e.platform.Callers, limits.wrap},
+		{callers, e.platform.Callers, limits.Wrap},
 		{balancer, e.platform.Readiness, plain},
 		{metrics, netip.AddrPortFrom(e.platform.Address, e.platform.FirstPort+uint16(e.own.MetricsPort)), plain},
 	} {
