Leave a target alone for a while that has no room for connections

Ruled out: the count of entry VMs (68 to 86 from the first reading on). A new connection that ends before its first answer counts as refused now: no further one is opened for 100 to 800 ms, and a target is believed to be back when a connection has lived for 20 ms.

--- a/entry/courier/connection.go
+++ b/entry/courier/connection.go
@@ -40,12 +40,13 @@
 	exchange  *Exchange
 	keepUntil time.Time
 	usedAt    time.Time
+	opened    time.Time
 	used      bool
 	dropped   bool
 }
 
 func newConnection(p *Pool, raw net.Conn) *connection {
-	return &connection{pool: p, raw: raw, buffer: bufio.NewReaderSize(raw, readBuffer)}
+	return &connection{pool: p, raw: raw, buffer: bufio.NewReaderSize(raw, readBuffer), opened: time.Now()}
 }
 
 // setReadDeadline bounds the reading; the zero time lifts the bound.
@@ -114,8 +115,21 @@
 // bytes which belong to no request.
 func (c *connection) retire() {
 	c.pool.mu.Lock()
-	defer c.pool.mu.Unlock()
+	refused := c.unproved()
 	c.pool.drop(c)
+	c.pool.mu.Unlock()
+	if refused {
+		c.pool.refused(&Error{Op: "read", Kind: KindClosed, Err: errNoRoom})
+	}
+}
+
+// youngAge is the age up to which a connection that ends without an answer was
+// refused; an older one was idle for too long.
+const youngAge = time.Second
+
+// unproved reports whether the connection is new and has brought no answer.
+func (c *connection) unproved() bool {
+	return !c.used && !c.dropped && time.Since(c.opened) < youngAge
 }
 
 func (c *connection) failRead(e *Exchange, err error) {
@@ -132,11 +146,15 @@
 // fail ends an exchange without an answer and closes the connection.
 func (c *connection) fail(e *Exchange, result placer.Result, err error) {
 	c.pool.mu.Lock()
+	refused := c.unproved()
 	c.pool.drop(c)
 	first := e.state != ended
 	e.state = ended
 	c.exchange = nil
 	c.pool.mu.Unlock()
+	if refused {
+		c.pool.refused(err)
+	}
 	if first {
 		c.pool.count("lost")
 		e.done(Reply{Result: result, Err: err})
--- a/entry/courier/courier_test.go
+++ b/entry/courier/courier_test.go
@@ -294,3 +294,30 @@
 		}
 	}
 }
+
+// A target that has no room for one more connection resets it after it was
+// opened. Dialing again for each request kept all targets busy with connections
+// that they reset (63154 on a day with 86 entry VMs and room for 68), and lost
+// a request each time.
+func TestTargetWithoutRoomForConnections(t *testing.T) {
+	opened := make(chan struct{}, 1000)
+	tgt := newTarget(t, func(c net.Conn, _ *bufio.Reader) {
+		opened <- struct{}{}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	})
+	reachable := make(chan bool, 1000)
+	couriers := courier.New(dial, func(string) {}, func(_ string, up bool) { reachable <- up })
+	t.Cleanup(couriers.Close)
+	p := couriers.Pool("i-1", tgt.address, 1)
+	send(t, p, job("a", time.Second))
+	check(t, "reachable", <-reachable, false)
+	time.Sleep(time.Second)
+	for len(reachable) > 0 {
+		check(t, "reachable again", <-reachable, false)
+	}
+	if n := len(opened); n > 6 {
+		t.Fatalf("%d connections within a second", n)
+	}
+}
--- a/entry/courier/error.go
+++ b/entry/courier/error.go
@@ -35,4 +35,6 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+var errNoRoom = errors.New("the connection ended before its first answer")
+
 var errRetired = &Error{Op: "send", Kind: KindRetired, Err: errors.New("the target has left")}
--- a/entry/courier/pool.go
+++ b/entry/courier/pool.go
@@ -37,6 +37,8 @@
 	dialing int
 	// misses counts the failed connections in a row.
 	misses int
+	// hold is until when no connection is opened, after one failed.
+	hold time.Time
 	// keep is true for a target to which a connection is kept open.
 	keep  bool
 	idle  []*connection
@@ -91,7 +93,7 @@
 }
 
 func (p *Pool) warmLater() {
-	if p.keep && !p.closed && p.total == 0 {
+	if p.keep && !p.closed && p.total == 0 && !time.Now().Before(p.hold) {
 		time.AfterFunc(rand.N(warmSpread), p.look)
 	}
 }
@@ -130,7 +132,7 @@
 }
 
 func (p *Pool) dialIfNeeded() {
-	if p.dialing < len(p.queue) && p.total < p.limit {
+	if p.dialing < len(p.queue) && p.total < p.limit && !time.Now().Before(p.hold) {
 		p.startDial()
 	}
 }
@@ -142,6 +144,10 @@
 	go p.open()
 }
 
+// settleTime is how long a new connection has to live to show that its target is
+// there and has room: several round trips between failure domains.
+const settleTime = 20 * time.Millisecond
+
 // open dials a connection and then reads from it until it ends.
 func (p *Pool) open() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -152,28 +158,52 @@
 	if err != nil {
 		p.total--
 		p.count("dial-failed")
-		unsent, lost := p.failWaiting()
 		p.mu.Unlock()
-		if lost {
-			p.reach(false)
-			p.lookAgain()
-		}
-		for _, e := range unsent {
-			e.done(Reply{Result: placer.Unsent, Err: &Error{Op: "dial", Kind: KindUnreachable, Err: err}})
-		}
+		p.refused(&Error{Op: "dial", Kind: KindUnreachable, Err: err})
 		return
 	}
-	p.misses = 0
 	c := newConnection(p, raw)
 	next := p.offer(time.Now(), c)
 	p.mu.Unlock()
-	p.reach(true)
+	time.AfterFunc(settleTime, func() { p.settled(c) })
 	if next != nil {
 		c.write(next)
 	}
 	c.read()
 }
 
+// settled takes that a connection has lived for a while.
+func (p *Pool) settled(c *connection) {
+	p.mu.Lock()
+	alive := !c.dropped
+	if alive {
+		p.misses, p.hold = 0, time.Time{}
+	}
+	p.mu.Unlock()
+	if alive {
+		p.reach(true)
+	}
+}
+
+// refused takes that a connection could not be opened, or ended before its
+// first answer, as it does when the target has no room for one more. No further
+// one is opened for a while; without any the target is out of reach.
+func (p *Pool) refused(err error) {
+	p.mu.Lock()
+	pause := min(firstLook<<min(p.misses, maxDoublings), lastLook)
+	p.misses++
+	p.hold = time.Now().Add(pause)
+	unsent, lost := p.failWaiting()
+	p.mu.Unlock()
+	if lost {
+		p.reach(false)
+		time.AfterFunc(pause, p.look)
+	}
+	for _, e := range unsent {
+		e.done(Reply{Result: placer.Unsent, Err: err})
+	}
+}
+
 // failWaiting takes the exchanges that no connection will carry, and reports
 // whether the target is out of reach.
 func (p *Pool) failWaiting() (unsent []*Exchange, lost bool) {
@@ -192,18 +222,10 @@
 const (
 	firstLook = 100 * time.Millisecond
 	lastLook  = 800 * time.Millisecond
+	// maxDoublings keeps the pause from overflowing before it is bounded.
+	maxDoublings = 10
 )
 
-// lookAgain opens a connection later, so that no request has to find out
-// whether the target is back.
-func (p *Pool) lookAgain() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pause := min(firstLook<<min(p.misses, 10), lastLook)
-	p.misses++
-	time.AfterFunc(pause, p.look)
-}
-
 // offer gives a free connection the next waiting exchange, keeps it idle, or
 // closes it. It returns the exchange that is to be written.
 func (p *Pool) offer(now time.Time, c *connection) *Exchange {
