--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -206,7 +206,7 @@
 	c.logEnd(verdict, status, took)
 }
 
-// answerSuccess writes a gathered answer.
+// writeBody answers with a body of known length.
 func writeBody(w http.ResponseWriter, status int, body []byte) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
--- a/entry/responder/responder_test.go
+++ b/entry/responder/responder_test.go
@@ -23,7 +23,7 @@
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/entry/courier"
 	"jackdawcart.org/entry/responder"
-	"jackdawcart.org/entry/standin"
+	"jackdawcart.org/platform/standin"
 )
 
 // site is a handler with real connections to stand-in targets.
