--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -113,48 +112,6 @@
 	}
 }
 
-// SetLimits changes the bounds that are shared between the entry VMs.
-func (p *Placer) SetLimits(limits Limits) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.limits = limits
-	p.limits.EntryVMs = max(limits.EntryVMs, 1)
-	for _, s := range p.services {
-		p.setBudget(s.budget)
-	}
-}
-
-func (p *Placer) setBudget(budget *hedger.State) {
-	budget.SetBudget(p.limits.RepeatRatio * p.config.BudgetShare)
-	budget.SetBurst(max((1-p.config.SteadyShare)*p.extra(), 1))
-}
-
-// extra is what this process may repeat in a window whatever it was asked.
-func (p *Placer) extra() float64 {
-	return p.config.BudgetShare * p.limits.RepeatExtra / float64(p.limits.EntryVMs)
-}
-
-// accrue grants the even part of the extra for the time that has passed.
-func (p *Placer) accrue(now time.Time, s *service) {
-	if p.limits.RepeatWindow > 0 && !s.granted.IsZero() {
-		s.budget.Grant(p.config.SteadyShare * p.extra() * float64(now.Sub(s.granted)) / float64(p.limits.RepeatWindow))
-	}
-	s.granted = now
-}
-
-// Connections returns how many connections this process may hold to a target
-// whose service allows the given number over all callers.
-func (p *Placer) Connections(allowed int) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.connections(allowed)
-}
-
-func (p *Placer) connections(allowed int) int {
-	share := p.config.ConnectionShare * float64(allowed) / float64(p.limits.EntryVMs)
-	return max(int(share), 1)
-}
-
 // Request describes a sub-request that is to be placed.
 type Request struct {
 	Service string
@@ -200,13 +157,6 @@
 	return Placement{Record: record, Started: now, factor: factor, target: t}, Placed
 }
 
-func (p *Placer) withdraw(s *service, hedge bool) bool {
-	if hedge {
-		return s.budget.WithdrawAbove(p.config.HedgeReserve)
-	}
-	return s.budget.Withdraw()
-}
-
 func (p *Placer) choose(now time.Time, s *service, r Request) (int, bool) {
 	candidates := make([]selector.Candidate, len(r.Targets))
 	for i, record := range r.Targets {
@@ -237,44 +187,6 @@
 	return s.choice.Pick(now, p.rng, candidates, tried)
 }
 
-// failingBound returns the rate of failures above which a target is avoided.
-func (p *Placer) failingBound(now time.Time, targets []registrar.Record, tried func(string) bool) float64 {
-	least := 1.0
-	for _, record := range targets {
-		if !tried(record.ID) {
-			least = min(least, p.failures(now, p.target(record.ID)))
-		}
-	}
-	return max(p.config.FailingRate, 2*least)
-}
-
-// failures returns the recent rate of failures of a target.
-func (p *Placer) failures(now time.Time, t *target) float64 {
-	if t.failing == 0 {
-		return 0
-	}
-	lives := float64(now.Sub(t.judged)) / float64(p.config.FailingLife)
-	return t.failing * math.Exp2(-lives)
-}
-
-// judgeLife is the time between two ends at a target after which the later one
-// counts half. Many entry VMs ask a target rarely, and each has to learn of its
-// failures from a few ends.
-const judgeLife = 2 * time.Second
-
-// judge takes a good or bad end into the rate of failures.
-func (p *Placer) judge(now time.Time, t *target, bad bool) {
-	weight := usualWeight
-	if !t.judged.IsZero() {
-		weight = max(weight, 1-math.Exp2(-float64(now.Sub(t.judged))/float64(judgeLife)))
-	}
-	rate := (1 - weight) * p.failures(now, t)
-	if bad {
-		rate += weight
-	}
-	t.failing, t.judged = rate, now
-}
-
 func (p *Placer) candidate(record registrar.Record) selector.Candidate {
 	since := record.ColdUntil.Add(-p.config.Selector.Ramp)
 	return selector.Candidate{
@@ -285,25 +197,6 @@
 	}
 }
 
-// busy reports whether every connection that this process may hold to the
-// target is in use.
-func (p *Placer) busy(id string) bool {
-	t := p.target(id)
-	return t.capacity > 0 && t.inFlight >= t.capacity
-}
-
-// silent reports whether a target has work of this process and has shown no
-// sign of life for several times its usual latency. Targets pause for a moment
-// now and then; the pause is over when one of the waiting answers arrives.
-func (p *Placer) silent(now time.Time, t *target) bool {
-	return t.inFlight > 0 && !now.Before(p.silentAt(t))
-}
-
-func (p *Placer) silentAt(t *target) time.Time {
-	patience := time.Duration(p.config.SilentFactor * float64(t.usual))
-	return t.alive.Add(max(patience, p.config.SilentFloor))
-}
-
 // HedgeAt returns when the sub-request should be sent to another target as
 // well if no answer has arrived: at the delay of its route, or when its target
 // has gone silent.
@@ -433,21 +326,6 @@
 	return r
 }
 
-// SetReachable takes whether a connection to the target opened.
-func (p *Placer) SetReachable(id string, reachable bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.target(id).down = !reachable
-}
-
-// Reachable reports whether the last connection to the target opened.
-func (p *Placer) Reachable(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t, ok := p.targets[id]
-	return !ok || !t.down
-}
-
 // Forget drops what is known of a target that has left, and of its successor
 // under the same identity.
 func (p *Placer) Forget(service, id string) {
