Remove what one watch of all keys made needless

The follower's description of a range of keys served one range only; a wrapper around opening connections and the age of a link had no use. Behaviour unchanged.

--- a/core/supervisor/link.go
+++ b/core/supervisor/link.go
@@ -79,13 +79,6 @@
 	return l.up, l.changed
 }
 
-// Age returns how long ago the dependency last answered.
-func (l *Link) Age(now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return now.Sub(l.lastOK)
-}
-
 // AfterLongOutage reports whether the dependency is out of reach, or came back
 // from a long outage within the given time.
 func (l *Link) AfterLongOutage(now time.Time, within time.Duration) bool {
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -93,7 +93,7 @@
 
 // Run keeps the configuration and the registrations current.
 func (f *Follower) Run(ctx context.Context) {
-	f.follow(ctx, stream{prefix: everything, replace: f.replaceAll, change: f.changeAll})
+	f.follow(ctx)
 }
 
 func (f *Follower) replaceAll(listing storer.Listing) {
@@ -136,52 +136,45 @@
 	f.hear.EntryVMs(count)
 }
 
-// stream is a range of keys and what is done with its contents.
-type stream struct {
-	prefix  string
-	replace func(storer.Listing)
-	change  func(storer.Listing)
-}
-
-// follow reads a range in full and then its changes. It reads in full again
+// follow reads all keys and then their changes. It reads in full again
 // when the store has dropped the history that it needs.
-func (f *Follower) follow(ctx context.Context, s stream) {
+func (f *Follower) follow(ctx context.Context) {
 	for f.link.WaitUp(ctx) {
-		listing, err := f.store.List(ctx, s.prefix, storer.Current)
+		listing, err := f.store.List(ctx, everything, storer.Current)
 		if err != nil {
-			f.failed(ctx, "read", s.prefix, err)
+			f.failed(ctx, "read", everything, err)
 			continue
 		}
 		f.succeeded()
-		s.replace(listing)
-		f.watch(ctx, s, listing.Revision)
+		f.replaceAll(listing)
+		f.watch(ctx, listing.Revision)
 	}
 }
 
 // watch follows the changes after a revision until the history is lost.
-func (f *Follower) watch(ctx context.Context, s stream, revision uint64) {
+func (f *Follower) watch(ctx context.Context, revision uint64) {
 	for f.link.WaitUp(ctx) {
 		waiting, stop := f.link.WhileUp(ctx)
-		listing, err := f.store.Watch(waiting, s.prefix, revision, f.config.WatchWait)
+		listing, err := f.store.Watch(waiting, everything, revision, f.config.WatchWait)
 		interrupted := waiting.Err() != nil
 		stop()
-		f.log.Debug("watch ended", zap.String("prefix", s.prefix), zap.Uint64("after", revision),
+		f.log.Debug("watch ended", zap.String("prefix", everything), zap.Uint64("after", revision),
 			zap.Uint64("revision", listing.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
 		switch {
 		case err == nil:
 			f.succeeded()
 			revision = listing.Revision
-			s.change(listing)
+			f.changeAll(listing)
 			if len(listing.Items) > 0 {
 				f.pause(ctx, f.config.Gather)
 			}
 		case storer.IsKind(err, storer.KindHistoryLost):
-			f.log.Warn("history lost, reading in full", zap.String("prefix", s.prefix), zap.Uint64("revision", revision))
+			f.log.Warn("history lost, reading in full", zap.String("prefix", everything), zap.Uint64("revision", revision))
 			f.link.Disturb()
 			return
 		case interrupted:
 		default:
-			f.failed(ctx, "watch", s.prefix, err)
+			f.failed(ctx, "watch", everything, err)
 		}
 	}
 }
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -109,7 +109,7 @@
 	config := follower.DefaultConfig(min(e.platform.DrainNotice, e.platform.ConfigurationBound), e.platform.Calm)
 	e.state = follower.NewState(config.Hold)
 	e.follow = follower.New(config, e.store, e.link, e.state, e.timers, e.log,
-		follower.Listeners{Table: e.onTable, Target: e.onTarget, EntryVMs: e.onCount})
+		follower.Listeners{Table: e.warm, Target: e.onTarget, EntryVMs: e.onCount})
 	e.announce = announcer.New(announcer.DefaultConfig(), e.platform.VM, e.store, e.link, e.timers, e.log)
 }
 
@@ -155,9 +155,6 @@
 	scope.Histogram("store_call_latency", meter.LatencyBuckets).RecordDuration(took)
 }
 
-// onTable opens connections to the targets of a version before requests come.
-func (e *entry) onTable(table *router.Table) { e.warm(table) }
-
 func (e *entry) onTarget(event registrar.Event) {
 	record := event.Record
 	switch event.Change {
@@ -176,6 +173,7 @@
 	}
 }
 
+// warm opens connections to the targets of a version before requests come.
 func (e *entry) warm(table *router.Table) {
 	for _, service := range table.Routed() {
 		for _, record := range e.state.Targets(service) {
