Let one VM of a failure domain read from the store and share evidence

Cause: each VM watched the store for itself. And what one VM saw at a target, 20 others of its domain had to find out for themselves.

Change: entry VMs of a failure domain are ordered by a hash of their names; a VM asks those before it for the changes of the store after its revision, and reads for itself when none of them answers. Own ports are checked against those that the platform gives.

--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -5,11 +5,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/netip"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/platform/storer"
@@ -18,9 +21,29 @@
 // prefix begins the keys of the entry VMs; the rest is the VM's name.
 const prefix = "entry-vms/"
 
-// VM returns the entry VM that is announced under a key.
+// announcement is the value under the key of an entry VM.
+type announcement struct {
+	Domain  string         `json:"domain"`
+	Address netip.AddrPort `json:"address"`
+}
+
+// VM returns the name of the entry VM that is announced under a key.
 func VM(key string) (string, bool) { return strings.CutPrefix(key, prefix) }
 
+// Read returns the entry VM that an item announces. One whose value cannot be
+// read counts among the others, but cannot be asked.
+func Read(item storer.Item) (registrar.Member, bool) {
+	name, ok := VM(item.Key)
+	if !ok {
+		return registrar.Member{}, false
+	}
+	var value announcement
+	if err := json.Unmarshal(item.Value, &value); err != nil {
+		return registrar.Member{Name: name}, true
+	}
+	return registrar.Member{Name: name, Domain: value.Domain, Address: value.Address}, true
+}
+
 // Store is what the announcer calls.
 type Store interface {
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
@@ -36,6 +59,9 @@
 	// Renew is the pause between renewals. A renewal costs a tenth of a call
 	// and also shows whether the store can be reached.
 	Renew time.Duration
+	// RenewReading is the same pause while others rely on what this VM reads
+	// from the store, so that it soon knows that it has lost it.
+	RenewReading time.Duration
 	// Probe is the pause between calls while the store is out of reach.
 	Probe time.Duration
 }
@@ -45,25 +71,33 @@
 	return Config{
 		Lease: 8 * time.Second,
 		Renew: 2500 * time.Millisecond,
-		Probe: 500 * time.Millisecond,
+		// With the timeout of a call below the shortest time in which a
+		// configuration has to be in force.
+		RenewReading: 600 * time.Millisecond,
+		Probe:        500 * time.Millisecond,
 	}
 }
 
 // Announcer keeps the own entry alive until its context ends.
 type Announcer struct {
 	config Config
-	vm     string
-	store  Store
-	link   *supervisor.Link
-	timers *timer.Service
-	log    *zap.Logger
+	self   registrar.Member
+	// reading reports whether others rely on what this VM reads.
+	reading func() bool
+	store   Store
+	link    *supervisor.Link
+	timers  *timer.Service
+	log     *zap.Logger
 
 	lease uint64
 }
 
-// New returns the announcer of a VM.
-func New(config Config, vm string, store Store, link *supervisor.Link, timers *timer.Service, log *zap.Logger) *Announcer {
-	return &Announcer{config: config, vm: vm, store: store, link: link, timers: timers, log: log}
+// New returns the announcer of a VM; reading reports whether others rely on what
+// it reads from the store.
+func New(config Config, self registrar.Member, reading func() bool, store Store, link *supervisor.Link, timers *timer.Service,
+	log *zap.Logger,
+) *Announcer {
+	return &Announcer{config: config, self: self, reading: reading, store: store, link: link, timers: timers, log: log}
 }
 
 // Run announces the VM, and takes the entry back at the end of the context.
@@ -101,7 +135,11 @@
 	if err != nil {
 		return err
 	}
-	if err := a.store.Put(ctx, prefix+a.vm, []byte(a.vm), lease); err != nil {
+	value, err := json.Marshal(announcement{Domain: a.self.Domain, Address: a.self.Address})
+	if err != nil {
+		return err
+	}
+	if err := a.store.Put(ctx, prefix+a.self.Name, value, lease); err != nil {
 		return err
 	}
 	a.lease = lease
@@ -115,6 +153,9 @@
 		if outage, regained := a.link.Succeeded(a.timers.Now()); regained {
 			a.log.Info("store regained", zap.Duration("outage", outage))
 		}
+		if a.reading() {
+			return a.config.RenewReading
+		}
 		return a.config.Renew
 	case ctx.Err() != nil:
 		return a.config.Renew
--- a/entry/announcer/announcer_test.go
+++ b/entry/announcer/announcer_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/announcer"
@@ -79,7 +80,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.NewService()
 		link := supervisor.NewLink(timers.Now(), time.Second)
-		a := announcer.New(announcer.DefaultConfig(), "vm-1", store, link, timers, zap.NewNop())
+		a := announcer.New(announcer.DefaultConfig(), registrar.Member{Name: "vm-1"}, func() bool { return false },
+			store, link, timers, zap.NewNop())
 		ctx, stop := context.WithCancel(t.Context())
 		var duty sync.WaitGroup
 		duty.Go(func() { a.Run(ctx) })
--- a/entry/configurer/configurer_test.go
+++ b/entry/configurer/configurer_test.go
@@ -42,3 +42,19 @@
 		}
 	}
 }
+
+// Two services on one port, or a port that the platform gives to others, must be
+// reported before the process starts.
+func TestPortsFit(t *testing.T) {
+	settings := configurer.Defaults()
+	if err := settings.CheckPorts(7740, 7755); err != nil {
+		t.Fatal(err)
+	}
+	if err := settings.CheckPorts(7740, 7741); err == nil || !strings.Contains(err.Error(), "allowed: at most 1") {
+		t.Errorf("too few ports: %v", err)
+	}
+	settings.PeerPort = settings.MetricsPort
+	if err := settings.CheckPorts(7740, 7755); err == nil || !strings.Contains(err.Error(), "two different") {
+		t.Errorf("the same port twice: %v", err)
+	}
+}
--- a/entry/configurer/settings.go
+++ b/entry/configurer/settings.go
@@ -25,6 +25,8 @@
 	LogLevel zapcore.Level `json:"log-level"`
 	// MetricsPort counts from the first port between VMs.
 	MetricsPort int `json:"metrics-port"`
+	// PeerPort counts likewise; other VMs of the failure domain ask there.
+	PeerPort int `json:"peer-port"`
 	// TraceEndpoint is where spans go; none are kept without one.
 	TraceEndpoint string  `json:"trace-endpoint"`
 	TraceShare    float64 `json:"trace-share"`
@@ -39,6 +41,7 @@
 	return Settings{
 		LogLevel:     zapcore.InfoLevel,
 		MetricsPort:  1,
+		PeerPort:     2,
 		TraceShare:   0.001,
 		StoreTimeout: time.Second,
 		CallerTime:   9 * time.Millisecond,
@@ -86,3 +89,17 @@
 	}
 	return settings, nil
 }
+
+// CheckPorts reports ports that do not fit among those between VMs.
+func (s Settings) CheckPorts(first, last uint16) error {
+	room := int(last) - int(first)
+	switch {
+	case s.MetricsPort > room || s.PeerPort > room:
+		return &Error{Op: "check", Err: fmt.Errorf("metrics-port: %d, peer-port: %d, allowed: at most %d, as the ports between VMs are %d to %d",
+			s.MetricsPort, s.PeerPort, room, first, last)}
+	case s.MetricsPort == s.PeerPort:
+		return &Error{Op: "check", Err: fmt.Errorf("metrics-port and peer-port: both %d, allowed: two different numbers", s.PeerPort)}
+	default:
+		return nil
+	}
+}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,15 +23,31 @@
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (storer.Listing, error)
 }
 
+// Peers are the other entry VMs of the failure domain, one of which may read from
+// the store for all.
+type Peers interface {
+	// Watch returns the changes after a revision, and false if no other VM tells
+	// them.
+	Watch(ctx context.Context, after uint64) (storer.Listing, bool)
+	// Replaced and Changed take what this VM has read, for the others.
+	Replaced(revision uint64)
+	Changed(after uint64, listing storer.Listing)
+	// Stopped takes that another VM reads instead.
+	Stopped()
+}
+
 // Config holds the constants of following.
 type Config struct {
+	// Domain is the own failure domain.
+	Domain string
+
 	// WatchWait is how long a watch waits. Each watch is a call that is paid
 	// for.
 	WatchWait time.Duration
 	// Answer is how much longer the answer of a watch may take.
 	Answer time.Duration
 	// Gather is the pause after changes, in which further ones are collected
-	// into one answer.
+	// into one answer, of a VM that reads for itself alone.
 	Gather time.Duration
 	// Retry is the pause after a failed call.
 	Retry time.Duration
@@ -73,27 +91,28 @@
 	config  Config
 	store   Store
 	link    *supervisor.Link
+	peers   Peers
 	state   *State
 	timers  *timer.Service
 	log     *zap.Logger
 	hear    Listeners
 	census  *registrar.Census
-	counted int
+	members []registrar.Member
 }
 
 // Listeners hear of each change of what is believed.
 type Listeners struct {
 	Table    func(*router.Table)
 	Target   func(registrar.Event)
-	EntryVMs func(count int)
+	EntryVMs func(members []registrar.Member)
 }
 
 // New returns a follower that keeps state current.
-func New(config Config, store Store, link *supervisor.Link, state *State, timers *timer.Service, log *zap.Logger,
+func New(config Config, store Store, link *supervisor.Link, peers Peers, state *State, timers *timer.Service, log *zap.Logger,
 	hear Listeners,
 ) *Follower {
 	return &Follower{
-		config: config, store: store, link: link, state: state, timers: timers, log: log, hear: hear,
+		config: config, store: store, link: link, peers: peers, state: state, timers: timers, log: log, hear: hear,
 		census: registrar.NewCensus(config.CountHold),
 	}
 }
@@ -110,13 +129,13 @@
 func (f *Follower) replaceAll(listing storer.Listing) {
 	f.takeTables(listing)
 	f.replaceTargets(listing)
-	var names []string
+	var members []registrar.Member
 	for _, item := range listing.Items {
-		if name, ok := announcer.VM(item.Key); ok {
-			names = append(names, name)
+		if member, ok := announcer.Read(item); ok {
+			members = append(members, member)
 		}
 	}
-	f.census.Replace(f.timers.Now(), names)
+	f.census.Replace(f.timers.Now(), members)
 	f.count()
 }
 
@@ -124,27 +143,29 @@
 	f.takeTables(listing)
 	f.changeTargets(listing)
 	for _, item := range listing.Items {
-		name, ok := announcer.VM(item.Key)
+		member, ok := announcer.Read(item)
 		switch {
 		case !ok:
 		case item.Gone:
-			f.census.Missing(f.timers.Now(), name)
+			f.census.Missing(f.timers.Now(), member.Name)
 		default:
-			f.census.Present(name)
+			f.census.Present(member)
 		}
 	}
 	f.count()
 }
 
-// count tells how many entry VMs there are when that has changed.
+// count tells which entry VMs there are when that has changed.
 func (f *Follower) count() {
-	count := max(f.census.Count(f.timers.Now()), 1)
-	if count == f.counted {
+	members := f.census.Members(f.timers.Now())
+	if slices.Equal(members, f.members) {
 		return
 	}
-	f.log.Info("entry VMs counted", zap.Int("before", f.counted), zap.Int("now", count))
-	f.counted = count
-	f.hear.EntryVMs(count)
+	if len(members) != len(f.members) {
+		f.log.Info("entry VMs counted", zap.Int("before", len(f.members)), zap.Int("now", len(members)))
+	}
+	f.members = members
+	f.hear.EntryVMs(members)
 }
 
 // follow reads all keys and then their changes. It reads in full again
@@ -158,6 +179,7 @@
 		}
 		f.succeeded()
 		f.replaceAll(listing)
+		f.peers.Replaced(listing.Revision)
 		f.watch(ctx, listing.Revision)
 	}
 }
@@ -167,36 +189,78 @@
 // outage.
 func (f *Follower) watch(ctx context.Context, revision uint64) {
 	unanswered := 0
-	for f.link.WaitUp(ctx) {
-		waiting, stop := f.link.WhileUp(ctx)
-		bounded, cancel := context.WithTimeout(waiting, f.config.WatchWait+f.config.Answer)
-		listing, err := f.store.Watch(bounded, everything, revision, f.config.WatchWait)
-		interrupted, late := waiting.Err() != nil, bounded.Err() != nil
-		cancel()
-		stop()
-		f.log.Debug("watch ended", zap.String("prefix", everything), zap.Uint64("after", revision),
-			zap.Uint64("revision", listing.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
+	for ctx.Err() == nil {
+		if listing, ok := f.peers.Watch(ctx, revision); ok {
+			f.peers.Stopped()
+			unanswered = 0
+			revision = listing.Revision
+			f.changeAll(listing)
+			continue
+		}
+		if up, _ := f.link.State(); !up {
+			f.pause(ctx, f.config.Retry)
+			continue
+		}
+		listing, end := f.watchStore(ctx, revision)
 		switch {
-		case err == nil:
+		case end.err == nil:
 			f.succeeded()
 			unanswered = 0
+			f.peers.Changed(revision, listing)
 			revision = listing.Revision
 			f.changeAll(listing)
 			if len(listing.Items) > 0 {
-				f.pause(ctx, f.config.Gather)
+				f.pause(ctx, f.gather())
 			}
-		case storer.IsKind(err, storer.KindHistoryLost):
+		case storer.IsKind(end.err, storer.KindHistoryLost):
 			f.log.Warn("history lost, reading in full", zap.String("prefix", everything), zap.Uint64("revision", revision))
 			f.link.Disturb()
 			return
-		case interrupted:
-		case unanswered == 0 && late:
+		case end.interrupted:
+		case unanswered == 0 && end.late:
 			unanswered++
-			f.log.Warn("watch without an answer", zap.Uint64("revision", revision), zap.Error(err))
+			f.log.Warn("watch without an answer", zap.Uint64("revision", revision), zap.Error(end.err))
 		default:
-			f.failed(ctx, "watch", everything, err)
+			f.failed(ctx, "watch", everything, end.err)
+		}
+	}
+}
+
+// watchEnd is how a watch of the store ended.
+type watchEnd struct {
+	err error
+	// interrupted says that the store was lost or the history dropped meanwhile.
+	interrupted bool
+	// late says that no answer came within its bound.
+	late bool
+}
+
+func (f *Follower) watchStore(ctx context.Context, revision uint64) (storer.Listing, watchEnd) {
+	waiting, stop := f.link.WhileUp(ctx)
+	defer stop()
+	bounded, cancel := context.WithTimeout(waiting, f.config.WatchWait+f.config.Answer)
+	defer cancel()
+	listing, err := f.store.Watch(bounded, everything, revision, f.config.WatchWait)
+	f.log.Debug("watch ended", zap.String("prefix", everything), zap.Uint64("after", revision),
+		zap.Uint64("revision", listing.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
+	return listing, watchEnd{err: err, interrupted: waiting.Err() != nil, late: bounded.Err() != nil}
+}
+
+// leastGather is the least part of the pause after changes that remains when a
+// VM reads for many others.
+const leastGather = 0.25
+
+// gather returns the pause after changes. A VM that reads for others reads more
+// often: all VMs of a domain together still make fewer calls, and hear sooner.
+func (f *Follower) gather() time.Duration {
+	near := 0
+	for _, m := range f.members {
+		if m.Domain == f.config.Domain {
+			near++
 		}
 	}
+	share := max(1/math.Sqrt(float64(max(near, 1))), leastGather)
+	return time.Duration(share * float64(f.config.Gather))
 }
 
 func (f *Follower) succeeded() {
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -32,6 +32,8 @@
 	mute  bool
 	wake  chan struct{}
 	lists int
+	// watches counts the calls that wait.
+	watches int
 }
 
 func newFakeStore() *fakeStore {
@@ -78,6 +80,19 @@
 	s.signal()
 }
 
+// setRevision stands for changes that do not matter here.
+func (s *fakeStore) setRevision(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = revision
+}
+
+func (s *fakeStore) watched() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
+
 func (s *fakeStore) setMute(mute bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,6 +125,9 @@
 
 func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (storer.Listing, error) {
 	over := time.After(wait)
+	s.mu.Lock()
+	s.watches++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		wake := s.wake
@@ -154,7 +172,59 @@
 	}
 }
 
+// fakePeers answers from its listings while it has some.
+type fakePeers struct {
+	mu       sync.Mutex
+	answers  bool
+	revision uint64
+	changes  []storer.Item
+	asked    int
+	stopped  bool
+}
+
+func (p *fakePeers) Watch(ctx context.Context, after uint64) (storer.Listing, bool) {
+	p.mu.Lock()
+	answers := p.answers
+	p.asked++
+	p.mu.Unlock()
+	if !answers {
+		return storer.Listing{}, false
+	}
+	select {
+	case <-time.After(250 * time.Millisecond):
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listing := storer.Listing{Revision: max(p.revision, after)}
+	for _, item := range p.changes {
+		if item.Revision > after {
+			listing.Items = append(listing.Items, item)
+		}
+	}
+	return listing, p.answers
+}
+
+func (p *fakePeers) Replaced(uint64) {}
+
+func (p *fakePeers) Changed(uint64, storer.Listing) { p.setStopped(false) }
+
+func (p *fakePeers) Stopped() { p.setStopped(true) }
+
+func (p *fakePeers) setStopped(stopped bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = stopped
+}
+
+func (p *fakePeers) set(answers bool, revision uint64, changes ...storer.Item) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answers, p.revision, p.changes = answers, revision, changes
+}
+
 type process struct {
+	peers *fakePeers
 	store *fakeStore
 	state *follower.State
 	link  *supervisor.Link
@@ -165,11 +235,11 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.NewService()
-		p := &process{store: newFakeStore(), state: follower.NewState(follower.DefaultConfig(3*time.Second, 4*time.Second).Hold)}
+		p := &process{peers: &fakePeers{}, store: newFakeStore(), state: follower.NewState(follower.DefaultConfig(3*time.Second, 4*time.Second).Hold)}
 		p.link = supervisor.NewLink(timers.Now(), 2400*time.Millisecond)
 		p.store.put(decoder.ConfigurationKey, version(1))
-		f := follower.New(follower.DefaultConfig(3*time.Second, 4*time.Second), p.store, p.link, p.state, timers, zap.NewNop(),
-			follower.Listeners{Table: func(*router.Table) {}, Target: func(registrar.Event) {}, EntryVMs: func(int) {}})
+		f := follower.New(follower.DefaultConfig(3*time.Second, 4*time.Second), p.store, p.link, p.peers, p.state, timers, zap.NewNop(),
+			follower.Listeners{Table: func(*router.Table) {}, Target: func(registrar.Event) {}, EntryVMs: func([]registrar.Member) {}})
 		ctx, stop := context.WithCancel(t.Context())
 		var duties sync.WaitGroup
 		for _, duty := range []func(context.Context){f.Run, f.SweepHeld} {
@@ -278,3 +348,34 @@
 		}
 	})
 }
+
+// While another VM tells the changes, the store is not called, also while it
+// cannot be reached from here; when that VM falls silent, a change must still be
+// in force in time and an older one must not come back.
+func TestPeersAreFollowed(t *testing.T) {
+	run(t, func(p *process) {
+		text, err := json.Marshal(version(2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.peers.set(true, 20, storer.Item{Key: decoder.ConfigurationKey, Value: text, Revision: 20})
+		time.Sleep(4 * time.Second)
+		if got := p.version(); got != 2 {
+			t.Fatalf("version %d is in force, want that of the peer", got)
+		}
+		before := p.store.watched()
+		p.link.Failed()
+		time.Sleep(10 * time.Second)
+		if calls := p.store.watched() - before; calls != 0 {
+			t.Fatalf("%d watches of the store while a peer answers", calls)
+		}
+		p.link.Succeeded(time.Now())
+		p.store.setRevision(20)
+		p.peers.set(false, 0)
+		p.store.put(decoder.ConfigurationKey, version(3))
+		time.Sleep(time.Second)
+		if got := p.version(); got != 3 {
+			t.Fatalf("version %d is in force, want 3", got)
+		}
+	})
+}
--- /dev/null
+++ b/entry/informer/error.go
@@ -0,0 +1,36 @@
+package informer
+
+import "fmt"
+
+// Kind classifies an error of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindUnreachable says that no connection to the VM could be opened.
+	KindUnreachable Kind = "unreachable"
+	// KindUnanswered says that no usable answer came in time.
+	KindUnanswered Kind = "unanswered"
+	// KindNotReading says that the VM does not read from the store itself.
+	KindNotReading Kind = "not-reading"
+	// KindHistoryLost says that the VM does not know the changes any more.
+	KindHistoryLost Kind = "history-lost"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the message, prefixed with its origin.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("informer: %s: %s", e.Op, e.Kind)
+	}
+	return fmt.Sprintf("informer: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- a/entry/main.go
+++ b/entry/main.go
@@ -58,11 +58,13 @@
 }
 
 func check(_ context.Context, c *cli.Command) error {
-	if _, err := configurer.Load(c.String("settings")); err != nil {
+	own, err := configurer.Load(c.String("settings"))
+	if err != nil {
 		return merry.Prepend(err, "own settings")
 	}
-	if _, err := decoder.LoadSettings(c.String("platform")); err != nil {
+	platform, err := decoder.LoadSettings(c.String("platform"))
+	if err != nil {
 		return merry.Prepend(err, "settings of the platform")
 	}
-	return nil
+	return merry.Prepend(own.CheckPorts(platform.FirstPort, platform.LastPort), "own settings")
 }
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -26,6 +26,7 @@
 	"jackdawcart.org/entry/configurer"
 	"jackdawcart.org/entry/courier"
 	"jackdawcart.org/entry/follower"
+	"jackdawcart.org/entry/informer"
 	"jackdawcart.org/entry/responder"
 	"jackdawcart.org/platform/decoder"
 	"jackdawcart.org/platform/storer"
@@ -58,10 +59,13 @@
 	follow   *follower.Follower
 	announce *announcer.Announcer
 	place    *placer.Placer
-	couriers *courier.Couriers
-	respond  *responder.Responder
-	ready    *readiness
-	hup      <-chan os.Signal
+	// asking and informing share with the other VMs of the failure domain.
+	asking    *informer.Client
+	informing *informer.Server
+	couriers  *courier.Couriers
+	respond   *responder.Responder
+	ready     *readiness
+	hup       <-chan os.Signal
 
 	boundsMu sync.Mutex
 	bounds   placer.Limits
@@ -87,6 +91,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := own.CheckPorts(platform.FirstPort, platform.LastPort); err != nil {
+		return nil, err
+	}
 	spans, err := tracer.New(ctx, own.TraceEndpoint, own.TraceShare, process, platform.VM)
 	if err != nil {
 		return nil, err
@@ -96,6 +103,7 @@
 		lines: logger.NewBounded(), metrics: meter.New(process, platform.VM), timers: timer.NewService(),
 	}
 	e.log = logger.NewTo(e.lines, own.LogLevel, process, platform.VM)
+	e.place = placer.New(placer.DefaultConfig(), e.platform.VM, e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.assembleFollowing()
 	e.assembleServing()
 	e.log.Info("start", zap.String("version", version), zap.String("domain", platform.Domain),
@@ -107,14 +115,33 @@
 	e.store = storer.NewClient(e.platform.Store, e.own.StoreTimeout, e.countCall)
 	e.link = supervisor.NewLink(e.timers.Now(), longOutage)
 	config := follower.DefaultConfig(min(e.platform.DrainNotice, e.platform.ConfigurationBound), e.platform.Calm)
+	config.Domain = e.platform.Domain
 	e.state = follower.NewState(config.Hold)
-	e.follow = follower.New(config, e.store, e.link, e.state, e.timers, e.log,
-		follower.Listeners{Table: e.warm, Target: e.onTarget, EntryVMs: e.onCount})
-	e.announce = announcer.New(announcer.DefaultConfig(), e.platform.VM, e.store, e.link, e.timers, e.log)
+	self := registrar.Member{Name: e.platform.VM, Domain: e.platform.Domain, Address: e.port(e.own.PeerPort)}
+	sharing := informer.DefaultConfig()
+	e.asking = informer.NewClient(sharing, self, dial, e.place, e.timers, e.countExchange, e.log)
+	e.informing = informer.NewServer(sharing, e.link, e.place, e.timers, e.log)
+	e.follow = follower.New(config, e.store, e.link, peers{e.asking, e.informing}, e.state, e.timers, e.log,
+		follower.Listeners{Table: e.warm, Target: e.onTarget, EntryVMs: e.onEntryVMs})
+	e.announce = announcer.New(announcer.DefaultConfig(), self, e.informing.Serves, e.store, e.link, e.timers, e.log)
+}
+
+// peers are the other entry VMs as the follower sees them.
+type peers struct {
+	*informer.Client
+	*informer.Server
+}
+
+// port returns an own address, whose port counts from the first one between VMs.
+func (e *entry) port(offset int) netip.AddrPort {
+	return netip.AddrPortFrom(e.platform.Address, e.platform.FirstPort+uint16(offset))
+}
+
+func (e *entry) countExchange(outcome string) {
+	e.metrics.Scope.Tagged(map[string]string{"outcome": outcome}).Counter("peer_exchanges").Inc(1)
 }
 
 func (e *entry) assembleServing() {
-	e.place = placer.New(placer.DefaultConfig(), e.platform.VM, e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.bounds.EntryVMs, e.bounds.Domains = assumedEntryVMs, e.platform.Domains
 	e.setBounds(e.platform)
 	e.couriers = courier.New(dial, func(event string) { e.metrics.Scope.Counter("connections_" + event).Inc(1) }, e.onReach)
@@ -129,10 +156,11 @@
 // assumedEntryVMs stands in for the number of entry VMs until they are counted.
 const assumedEntryVMs = 9
 
-func (e *entry) onCount(entryVMs int) {
+func (e *entry) onEntryVMs(members []registrar.Member) {
+	e.asking.SetMembers(members)
 	e.boundsMu.Lock()
 	defer e.boundsMu.Unlock()
-	e.bounds.EntryVMs = entryVMs
+	e.bounds.EntryVMs = len(members)
 	e.place.SetLimits(e.bounds)
 }
 
@@ -218,14 +246,22 @@
 	logging, stopLog := context.WithCancel(context.Background())
 	var running, writing sync.WaitGroup
 	writing.Go(func() { e.lines.Run(logging, os.Stdout) })
+	listener, err := net.Listen("tcp", e.port(e.own.PeerPort).String())
+	if err != nil {
+		stop()
+		stopLog()
+		return err
+	}
+	running.Go(func() { e.informing.Serve(duties, listener) })
 	for _, duty := range []func(context.Context){
-		e.follow.Run, e.follow.SweepHeld, e.announce.Run, e.followFiles,
+		e.follow.Run, e.follow.SweepHeld, e.announce.Run, e.followFiles, e.informing.Exchange,
 	} {
 		running.Go(func() { duty(duties) })
 	}
-	err := e.serveHTTP(ctx)
+	err = e.serveHTTP(ctx)
 	stop()
 	running.Wait()
+	e.asking.Close()
 	e.couriers.Close()
 	e.timers.Close()
 	e.log.Info("stop", zap.Error(err))
--- a/entry/runner/serve.go
+++ b/entry/runner/serve.go
@@ -44,7 +44,7 @@
 	}{
 		{callers, e.platform.Callers, limits.Wrap},
 		{balancer, e.platform.Readiness, plain},
-		{metrics, netip.AddrPortFrom(e.platform.Address, e.platform.FirstPort+uint16(e.own.MetricsPort)), plain},
+		{metrics, e.port(e.own.MetricsPort), plain},
 	} {
 		listener, err := net.Listen("tcp", s.address.String())
 		if err != nil {
