Count repeats over a sliding window instead of a bucket

Cause: a bucket that the ratio refills gave its burst once and then a fifth of the extra in each window.

Change: the placer counts first sub-requests and repeats in slots of the window; a repeat is allowed while the last window holds fewer than its share. Hedges leave a quarter of the whole allowance to lost answers. A process that has just started counts half of the extra as used, as before. A service no longer holds a histogram that only its budget needed.

TestBudgetInEveryWindow never ended its sub-requests, so its targets were silent after the first ones and hardly any repeat was placed; it now ends them and asks for a tenth of repeats at least.

--- a/core/placer/budget.go
+++ b/core/placer/budget.go
@@ -1,25 +1,18 @@
 package placer
 
-import (
-	"time"
-
-	"jackdawcart.org/core/hedger"
-)
+import "time"
 
 // SetLimits changes the bounds that are shared between the entry VMs.
 func (p *Placer) SetLimits(limits Limits) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if limits.RepeatWindow != p.limits.RepeatWindow {
+		for _, s := range p.services {
+			s.budget.length = limits.RepeatWindow
+		}
+	}
 	p.limits = limits
 	p.limits.EntryVMs = max(limits.EntryVMs, 1)
-	for _, s := range p.services {
-		p.setBudget(s.budget)
-	}
-}
-
-func (p *Placer) setBudget(budget *hedger.State) {
-	budget.SetBudget(p.limits.RepeatRatio * p.config.BudgetShare)
-	budget.SetBurst(max((1-p.config.SteadyShare)*p.extra(), 1))
 }
 
 // extra is what this process may repeat in a window whatever it was asked.
@@ -27,19 +20,27 @@
 	return p.config.BudgetShare * p.limits.RepeatExtra / float64(p.limits.EntryVMs)
 }
 
-// accrue grants the even part of the extra for the time that has passed.
-func (p *Placer) accrue(now time.Time, s *service) {
-	if p.limits.RepeatWindow > 0 && !s.granted.IsZero() {
-		s.budget.Grant(p.config.SteadyShare * p.extra() * float64(now.Sub(s.granted)) / float64(p.limits.RepeatWindow))
-	}
-	s.granted = now
+// newBudget returns the budget of a service. A process that has just started
+// knows nothing of what it repeated before its end, so half of the extra counts
+// as used.
+func (p *Placer) newBudget(now time.Time) *window {
+	w := newWindow(now, p.limits.RepeatWindow)
+	w.repeat(p.extra() / 2)
+	return w
 }
 
-func (p *Placer) withdraw(s *service, hedge bool) bool {
+// withdraw takes a repeat from the budget. Hedges leave a part to repeats of
+// answers that will not come.
+func (p *Placer) withdraw(w *window, hedge bool) bool {
+	allowed := p.config.BudgetShare*p.limits.RepeatRatio*w.asked() + p.extra()
 	if hedge {
-		return s.budget.WithdrawAbove(p.config.HedgeReserve)
+		allowed -= p.config.HedgeReserve * max(allowed-1, 0)
+	}
+	if w.allAgain+1 > allowed {
+		return false
 	}
-	return s.budget.Withdraw()
+	w.repeat(1)
+	return true
 }
 
 // Connections returns how many connections this process may hold to a target
--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -29,11 +29,8 @@
 	// used; the rest covers the difference between the windows of the judge and
 	// of the process.
 	BudgetShare float64
-	// SteadyShare is the part of the extra repeats that is granted evenly over
-	// the window; the rest may be used at once.
-	SteadyShare float64
-	// HedgeReserve is the share of an unused budget beyond one repeat that hedges
-	// leave to repeats of answers that will not come.
+	// HedgeReserve is the share of the budget beyond one repeat that hedges leave
+	// to repeats of answers that will not come.
 	HedgeReserve float64
 	// FailingRate is the rate of failures from which a target is avoided while
 	// another one has at most half of it.
@@ -87,7 +84,6 @@
 		SilentFloor:     8 * time.Millisecond,
 		DelayShare:      0.3,
 		BudgetShare:     0.9,
-		SteadyShare:     0.2,
 		HedgeReserve:    0.25,
 		FailingRate:     0.1,
 		FailingLife:     3 * time.Second,
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -84,9 +84,7 @@
 
 type service struct {
 	choice *selector.State
-	budget *hedger.State
-	// granted is when the budget last got its even part of the extra.
-	granted time.Time
+	budget *window
 	// fullUntil is when a target that refused for want of room may have some.
 	fullUntil map[string]time.Time
 }
@@ -152,16 +150,16 @@
 	if p.began.IsZero() {
 		p.began = now
 	}
-	s := p.service(r.Service)
-	p.accrue(now, s)
+	s := p.service(now, r.Service)
+	s.budget.advance(now)
 	kept := p.keeps(r.Targets, r.MaxConnections)
 	i, ok := p.choose(now, s, r, kept)
 	if !ok {
 		return Placement{}, NoTarget
 	}
 	if !r.Again {
-		s.budget.Deposit(1)
-	} else if !r.Free && !p.withdraw(s, r.Hedge) {
+		s.budget.first()
+	} else if !r.Free && !p.withdraw(s.budget, r.Hedge) {
 		return Placement{}, NoBudget
 	}
 	record := r.Targets[i]
@@ -237,7 +235,7 @@
 func (p *Placer) Ended(now time.Time, route string, aim time.Duration, placed Placement, result Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.service(placed.Record.Service)
+	s := p.service(now, placed.Record.Service)
 	t, id := placed.target, placed.Record.ID
 	t.inFlight--
 	latency := now.Sub(placed.Started)
@@ -312,18 +310,14 @@
 	return time.Duration(float64(relativeLatency) * float64(latency) / float64(r.usual))
 }
 
-func (p *Placer) service(name string) *service {
+func (p *Placer) service(now time.Time, name string) *service {
 	s, ok := p.services[name]
 	if !ok {
 		s = &service{
 			choice:    selector.New(p.config.Selector),
-			budget:    hedger.New(p.config.Hedger),
+			budget:    p.newBudget(now),
 			fullUntil: make(map[string]time.Time),
 		}
-		p.setBudget(s.budget)
-		// A process that has just started knows nothing of what it repeated before
-		// its end, so it begins with half of what it may use at once.
-		s.budget.Grant((1 - p.config.SteadyShare) * p.extra() / 2)
 		p.services[name] = s
 	}
 	return s
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -96,6 +96,17 @@
 	}
 }
 
+// answer places a sub-request that is answered at once, and reports whether it
+// was placed.
+func (l *load) answer(request placer.Request) bool {
+	placed, outcome := l.placer.Place(l.now, request)
+	if outcome != placer.Placed {
+		return false
+	}
+	l.placer.Ended(l.now.Add(time.Millisecond), longRoute, aim, placed, placer.Answered)
+	return true
+}
+
 // usualWork is the work of the sheets: one route's requests take three times as
 // long as the other's, and each varies by a third.
 func (l *load) usualWork(route string) time.Duration {
@@ -294,6 +305,30 @@
 	}
 }
 
+// Half of the targets refuse two in five requests for many windows. The budget of
+// every window has to serve, not only that of the first one: a bucket that the
+// ratio refilled gave half of it.
+func TestBudgetOfEveryWindowIsUsed(t *testing.T) {
+	l := newLoad(3)
+	limits := placer.Limits{RepeatRatio: 0.2, RepeatExtra: 186, RepeatWindow: 10 * time.Second, EntryVMs: 8}
+	l.placer.SetLimits(limits)
+	const perSecond = 12
+	repeats := 0
+	for i := range 60 * perSecond {
+		request := placer.Request{Service: "shard", Targets: l.targets, MaxConnections: 1 << 30}
+		l.now = start.Add(time.Duration(i) * time.Second / perSecond)
+		l.answer(request)
+		request.Again = true
+		if l.answer(request) && i >= 30*perSecond {
+			repeats++
+		}
+	}
+	allowed := 3 * (limits.RepeatRatio*10*perSecond + limits.RepeatExtra/float64(limits.EntryVMs))
+	if float64(repeats) < 0.8*allowed {
+		t.Fatalf("%d repeats in three windows, allowed %.0f", repeats, allowed)
+	}
+}
+
 // Whatever the mixture of traffic and repeats, no window holds more repeats than
 // the share of one entry VM allows.
 func TestBudgetInEveryWindow(t *testing.T) {
@@ -306,12 +341,15 @@
 		// Traffic swings between 10 and 100 requests a second.
 		l.now = l.now.Add(time.Duration(10+l.rng.IntN(90)) * time.Millisecond)
 		firsts = append(firsts, l.now)
-		l.placer.Place(l.now, request)
+		l.answer(request)
 		request.Again = true
-		if _, outcome := l.placer.Place(l.now, request); outcome == placer.Placed {
+		if l.answer(request) {
 			repeats = append(repeats, l.now)
 		}
 	}
+	if len(repeats) < len(firsts)/10 {
+		t.Fatalf("%d repeats of %d requests, want a tenth at least", len(repeats), len(firsts))
+	}
 	in := func(times []time.Time, from time.Time) int {
 		n := 0
 		for _, at := range times {
