Prefer kept targets in other failure domains by little, near ones by two

Cause: a VM without a near replica counted its kept one as near, so the others had to be three times as fast to be used.

Change: a kept target in another domain only saves a new connection (1.3); the factor for bytes between domains falls from 3 to 2.

--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -46,6 +46,10 @@
 	// former connections until it finds them idle, and the new ones need as
 	// many again.
 	KeptShare float64
+	// UnkeptPenalty multiplies the score of a target without a kept connection
+	// where all targets are in other failure domains. A new connection takes a
+	// third of the work of a short request.
+	UnkeptPenalty float64
 	// LingerMost is how long a connection that is not kept would stay open
 	// between requests if each VM could have one to each target. Hedges to a
 	// target come every ten seconds or so from each VM.
@@ -64,7 +68,7 @@
 	choice := selector.DefaultConfig()
 	// Bytes between failure domains are priced, so a near replica is used until
 	// it is clearly slower.
-	choice.RemotePenalty = 3
+	choice.RemotePenalty = 2
 	// Latencies are given relative to those of the route, so a target is slow
 	// from a small multiple on. Four in a row are no chance and no pause, which
 	// two or three requests meet.
@@ -89,6 +93,7 @@
 		FailingLife:     3 * time.Second,
 		ConnectionShare: 0.85,
 		KeptShare:       0.45,
+		UnkeptPenalty:   1.3,
 		LingerMost:      8 * time.Second,
 		LingerLeast:     300 * time.Millisecond,
 		Settling:        10 * time.Second,
--- a/core/placer/kept.go
+++ b/core/placer/kept.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jackdawcart.org/core/registrar"
+	"jackdawcart.org/core/selector"
 )
 
 // kept says which of the targets of a service this VM keeps connections to.
@@ -17,8 +18,8 @@
 	chosen []bool
 }
 
-// prefers reports whether the target is used while it is about as good as the
-// others.
+// prefers reports whether the target should have a connection before the first
+// request.
 func (k kept) prefers(i int) bool {
 	if k.chosen != nil {
 		return k.chosen[i]
@@ -26,6 +27,20 @@
 	return k.near[i]
 }
 
+// mark says in a candidate what speaks for its target besides its latency. The
+// bytes to another failure domain are priced. Where all targets are in others, a
+// kept one only saves a new connection.
+func (k kept) mark(c *selector.Candidate, i int, unkept float64) {
+	if slices.Contains(k.near, true) {
+		c.Local = k.near[i]
+		return
+	}
+	c.Local = true
+	if !k.prefers(i) {
+		c.Penalty = unkept
+	}
+}
+
 // keeps chooses the targets that the VM keeps connections to. While a target has
 // room for all VMs these are all of them. Else each VM chooses as many as fit on
 // average, near ones first, and by a hash that differs between VMs, so that each
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -169,7 +169,7 @@
 		t.alive = now
 	}
 	t.inFlight++
-	factor := s.choice.Started(now, p.candidate(record, kept.prefers(i)), "")
+	factor := s.choice.Started(now, p.candidate(record, kept, i), "")
 	linger := p.linger(now, kept, i, r.MaxConnections)
 	return Placement{Record: record, Started: now, Linger: linger, factor: factor, target: t}, Placed
 }
@@ -177,7 +177,7 @@
 func (p *Placer) choose(now time.Time, s *service, r Request, kept kept) (int, bool) {
 	candidates := make([]selector.Candidate, len(r.Targets))
 	for i, record := range r.Targets {
-		candidates[i] = p.candidate(record, kept.prefers(i))
+		candidates[i] = p.candidate(record, kept, i)
 	}
 	tried := func(id string) bool {
 		if p.target(id).down {
@@ -204,14 +204,14 @@
 	return s.choice.Pick(now, p.rng, candidates, tried)
 }
 
-func (p *Placer) candidate(record registrar.Record, preferred bool) selector.Candidate {
-	since := record.ColdUntil.Add(-p.config.Selector.Ramp)
-	return selector.Candidate{
+func (p *Placer) candidate(record registrar.Record, kept kept, i int) selector.Candidate {
+	c := selector.Candidate{
 		Target: record.ID,
-		Local:  preferred,
-		Since:  since,
+		Since:  record.ColdUntil.Add(-p.config.Selector.Ramp),
 		Slots:  record.Slots,
 	}
+	kept.mark(&c, i, p.config.UnkeptPenalty)
+	return c
 }
 
 // HedgeAt returns when the sub-request should be sent to another target as
--- a/core/selector/estimate.go
+++ b/core/selector/estimate.go
@@ -14,6 +14,9 @@
 	if !c.Local {
 		score *= s.config.RemotePenalty
 	}
+	if c.Penalty > 0 {
+		score *= c.Penalty
+	}
 	if age := now.Sub(c.Since); age < s.config.Ramp {
 		score *= 1 + 3*(1-float64(max(age, 0))/float64(s.config.Ramp))
 	}
--- a/core/selector/selector.go
+++ b/core/selector/selector.go
@@ -67,6 +67,8 @@
 	Target string
 	// Local is true for a target in the gateway's own failure domain.
 	Local bool
+	// Penalty multiplies the score of the target, 0 for none.
+	Penalty float64
 	// Since is when the target began to serve.
 	Since time.Time
 	// Slots is the number of requests that the target runs at once.
