--- a/core/placer/evidence_test.go
+++ b/core/placer/evidence_test.go
@@ -8,21 +8,16 @@
 )
 
 // told replays sub-requests of 21 VMs to the three replicas of one shard, each
-// VM three in two seconds, and returns the share that goes to the failing near
-// replica. The VMs tell each other what they see each quarter of a second, or not
-// at all.
-func told(telling bool) float64 {
+// VM three in two seconds, and returns the share that goes to the near replica,
+// which trouble changes. The VMs tell each other what they see each quarter of a
+// second, or not at all.
+func told(telling bool, trouble func(*load)) float64 {
 	const entryVMs = 21
 	var vms []*load
 	for range entryVMs {
 		l := newLoad(3)
 		l.work = func(route, _ string, _ time.Duration) time.Duration { return l.usualWork(route) }
-		l.result = func(target string) placer.Result {
-			if target == "i-0" && l.rng.Float64() < 0.4 {
-				return placer.Refused
-			}
-			return placer.Answered
-		}
+		trouble(l)
 		vms = append(vms, l)
 	}
 	const round = 250 * time.Millisecond
@@ -69,13 +64,39 @@
 // Half of that fifth is needed for pauses.
 func TestEvidenceOfOthersIsHeard(t *testing.T) {
 	const refused, repeats = 0.4, 0.2
-	alone, together := told(false), told(true)
+	shedding := func(l *load) {
+		l.result = func(target string) placer.Result {
+			if target == "i-0" && l.rng.Float64() < refused {
+				return placer.Refused
+			}
+			return placer.Answered
+		}
+	}
+	alone, together := told(false, shedding), told(true, shedding)
 	t.Logf("share of the failing target %.3f, %.3f without the evidence of others", together, alone)
 	if together*refused > repeats/2 {
 		t.Fatalf("share of the failing target %.3f, %.3f without the evidence of others", together, alone)
 	}
 }
 
+// The near replica turns four times as slow and its queue is long; the shorter
+// kind of request still ends in time there. Each answer in time called it back at
+// the VM that got it.
+func TestSlowReplicaIsLeftByAll(t *testing.T) {
+	slow := func(l *load) {
+		l.work = func(route, target string, at time.Duration) time.Duration {
+			work := l.usualWork(route) + 5*time.Millisecond
+			if target == "i-0" && at > time.Second {
+				work *= 4
+			}
+			return work
+		}
+	}
+	if share := told(true, slow); share > 0.1 {
+		t.Fatalf("share of the slow replica %.3f, want at most a tenth", share)
+	}
+}
+
 // Evidence about targets that the process does not ask must not be kept, as
 // nothing would ever remove it.
 func TestEvidenceOfStrangersIsDropped(t *testing.T) {
