Renew often from the first request of other VMs on, and end within the grace

The other case: what has begun could run until 0.95 of the grace and the last call to the store half a second more, which is beyond the grace.

Change: the announcer looks at the shorter pause each time; relying lasts 10 s after the last request of another VM; the last call takes 0.08 of the grace and requests end at 0.85 of it.

Tests: TestReadingVMRenewsOften, TestLeavingIsBounded.

--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -62,12 +62,19 @@
 	// RenewReading is the same pause while others rely on what this VM reads
 	// from the store, so that it soon knows that it has lost it.
 	RenewReading time.Duration
+	// Leave bounds the last call, as the process is about to end.
+	Leave time.Duration
 	// Probe is the pause between calls while the store is out of reach.
 	Probe time.Duration
 }
 
-// DefaultConfig returns the periods used in production.
-func DefaultConfig() Config {
+// leaveShare is the part of the time for a planned stop in which the own entry is
+// taken back, after the last requests.
+const leaveShare = 0.08
+
+// DefaultConfig returns the periods used in production, for the time that a
+// planned stop may take.
+func DefaultConfig(grace time.Duration) Config {
 	return Config{
 		Lease: 8 * time.Second,
 		Renew: 2500 * time.Millisecond,
@@ -90,6 +97,8 @@
 	log     *zap.Logger
 
 	lease uint64
+	// called is when the store was last called.
+	called time.Time
 }
 
 // New returns the announcer of a VM; reading reports whether others rely on what
@@ -108,6 +117,10 @@
 		up, changed := a.link.State()
 		select {
 		case <-tick.C:
+			if !a.due() {
+				tick.Reset(a.config.RenewReading)
+				continue
+			}
 			tick.Reset(a.observe(ctx, a.renew(ctx)))
 		case <-changed:
 			// Another user lost the store; the next call shows when it is back.
@@ -121,8 +134,18 @@
 	}
 }
 
+// due reports whether it is time for a call. Others may begin at any time to
+// rely on what this VM reads, so the shorter pause is looked at each time.
+func (a *Announcer) due() bool {
+	if up, _ := a.link.State(); !up || a.reading() {
+		return true
+	}
+	return a.timers.Now().Sub(a.called) >= a.config.Renew
+}
+
 // renew extends the lease, or announces the VM under a new one.
 func (a *Announcer) renew(ctx context.Context) error {
+	a.called = a.timers.Now()
 	if a.lease != 0 {
 		err := a.store.Renew(ctx, a.lease)
 		if !storer.IsKind(err, storer.KindNotFound) {
@@ -153,12 +176,9 @@
 		if outage, regained := a.link.Succeeded(a.timers.Now()); regained {
 			a.log.Info("store regained", zap.Duration("outage", outage))
 		}
-		if a.reading() {
-			return a.config.RenewReading
-		}
-		return a.config.Renew
+		return a.config.RenewReading
 	case ctx.Err() != nil:
-		return a.config.Renew
+		return a.config.RenewReading
 	default:
 		if a.link.Failed() {
 			a.log.Warn("store lost", zap.String("op", "renew"), zap.Error(err))
@@ -167,14 +187,11 @@
 	}
 }
 
-// leaveTimeout bounds the last call, as the process is about to end.
-const leaveTimeout = 500 * time.Millisecond
-
 func (a *Announcer) leave() {
 	if a.lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), a.config.Leave)
 	defer cancel()
 	if err := a.store.End(ctx, a.lease); err != nil {
 		a.log.Warn("entry stays until its lease ends", zap.Uint64("lease", a.lease), zap.Error(err))
--- a/entry/announcer/announcer_test.go
+++ b/entry/announcer/announcer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,10 @@
 	lease    uint64
 	keys     map[string]uint64
 	renewals int
+	// hangs makes the last call go without an answer.
+	hangs bool
+	// reading says that others rely on what the VM reads.
+	reading atomic.Bool
 }
 
 var errNoLease = &storer.Error{Op: "renew", Kind: storer.KindNotFound, Err: errors.New("no such lease")}
@@ -45,7 +50,11 @@
 	return nil
 }
 
-func (s *fakeStore) End(_ context.Context, lease uint64) error {
+func (s *fakeStore) End(ctx context.Context, lease uint64) error {
+	if s.hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, l := range s.keys {
@@ -80,7 +89,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.NewService()
 		link := supervisor.NewLink(timers.Now(), time.Second)
-		a := announcer.New(announcer.DefaultConfig(), registrar.Member{Name: "vm-1"}, func() bool { return false },
+		a := announcer.New(announcer.DefaultConfig(6*time.Second), registrar.Member{Name: "vm-1"}, store.reading.Load,
 			store, link, timers, zap.NewNop())
 		ctx, stop := context.WithCancel(t.Context())
 		var duty sync.WaitGroup
@@ -127,3 +136,42 @@
 		}
 	})
 }
+
+// A VM on which others begin to rely must soon call the store, or it does not
+// know that it has lost it. It waited for its next usual renewal, and the others
+// left it each time.
+func TestReadingVMRenewsOften(t *testing.T) {
+	run(t, func(store *fakeStore, link *supervisor.Link) {
+		store.reading.Store(true)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			if age := time.Since(link.LastOK()); age > 700*time.Millisecond {
+				t.Fatalf("the store was last heard %v ago", age)
+			}
+		}
+	})
+}
+
+// A store that does not answer must not hold up the end of the process beyond
+// its part of the stop: the platform kills what is left after its grace.
+func TestLeavingIsBounded(t *testing.T) {
+	var left time.Time
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{keys: make(map[string]uint64), hangs: true}
+		timers := timer.NewService()
+		link := supervisor.NewLink(timers.Now(), time.Second)
+		a := announcer.New(announcer.DefaultConfig(3*time.Second), registrar.Member{Name: "vm-1"}, store.reading.Load,
+			store, link, timers, zap.NewNop())
+		ctx, stop := context.WithCancel(t.Context())
+		var duty sync.WaitGroup
+		duty.Go(func() { a.Run(ctx) })
+		time.Sleep(100 * time.Millisecond)
+		left = time.Now()
+		stop()
+		duty.Wait()
+		if took := time.Since(left); took > 300*time.Millisecond {
+			t.Errorf("leaving took %v of a stop of 3s", took)
+		}
+		timers.Close()
+	})
+}
--- a/entry/informer/informer.go
+++ b/entry/informer/informer.go
@@ -27,6 +27,9 @@
 	// Fresh is the age of the last answer of the store up to which a VM answers
 	// others: the pause between renewals while it reads, and a call's timeout.
 	Fresh time.Duration
+	// Relying is how long a VM that has asked is expected to ask again: longer
+	// than it avoids a VM that did not answer.
+	Relying time.Duration
 	// MaxItems bounds the changes that are kept for VMs that ask late.
 	MaxItems int
 	// MaxBatches bounds the evidence that is kept for them.
@@ -38,11 +41,12 @@
 // DefaultConfig returns the constants used in production.
 func DefaultConfig() Config {
 	return Config{
-		Wait:   250 * time.Millisecond,
-		Answer: 300 * time.Millisecond,
-		Dial:   200 * time.Millisecond,
-		Avoid:  2 * time.Second,
-		Fresh:  1700 * time.Millisecond,
+		Wait:    250 * time.Millisecond,
+		Answer:  300 * time.Millisecond,
+		Dial:    200 * time.Millisecond,
+		Avoid:   2 * time.Second,
+		Fresh:   1700 * time.Millisecond,
+		Relying: 10 * time.Second,
 		// A reshard registers a few hundred targets at once.
 		MaxItems: 1000,
 		// VMs ask each quarter of a second, so this covers some rounds of 64.
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -33,8 +33,8 @@
 	reading bool
 	history history
 	ledger  ledger
-	// asking is the number of VMs that are connected.
-	asking int
+	// asked is when another VM last asked.
+	asked time.Time
 	// changed is closed when a waiting answer may have to go out.
 	changed chan struct{}
 }
@@ -82,7 +82,7 @@
 func (s *Server) Serves() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reading && s.asking > 0
+	return s.reading && !s.asked.IsZero() && s.timers.Now().Sub(s.asked) < s.config.Relying
 }
 
 func (s *Server) signal() {
@@ -114,8 +114,6 @@
 
 // converse answers the requests of one VM.
 func (s *Server) converse(ctx context.Context, w *wire) {
-	s.count(1)
-	defer s.count(-1)
 	from := w.RemoteAddr().String()
 	s.mu.Lock()
 	next := s.ledger.next
@@ -130,6 +128,9 @@
 			}
 			return
 		}
+		s.mu.Lock()
+		s.asked = s.timers.Now()
+		s.mu.Unlock()
 		answer := s.answer(ctx, &request)
 		s.mu.Lock()
 		s.ledger.add(from, fromEvidence(request.GetEvidence()))
@@ -143,12 +144,6 @@
 	}
 }
 
-func (s *Server) count(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.asking += n
-}
-
 // answer waits for a change after the revision of the request.
 func (s *Server) answer(ctx context.Context, request *informerpb.Request) *informerpb.Answer {
 	wait := s.timers.After(min(request.GetWait().AsDuration(), s.config.Wait))
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -123,7 +123,7 @@
 	e.informing = informer.NewServer(sharing, e.link, e.place, e.timers, e.log)
 	e.follow = follower.New(config, e.store, e.link, peers{e.asking, e.informing}, e.state, e.timers, e.log,
 		follower.Listeners{Table: e.warm, Target: e.onTarget, EntryVMs: e.onEntryVMs})
-	e.announce = announcer.New(announcer.DefaultConfig(), self, e.informing.Serves, e.store, e.link, e.timers, e.log)
+	e.announce = announcer.New(announcer.DefaultConfig(e.platform.ShutdownGrace), self, e.informing.Serves, e.store, e.link, e.timers, e.log)
 }
 
 // peers are the other entry VMs as the follower sees them.
--- a/entry/runner/serve.go
+++ b/entry/runner/serve.go
@@ -19,8 +19,9 @@
 	// leaveShare is how long new connections are still taken: the balancer
 	// notices after two of its questions.
 	leaveShare = 0.55
-	// finishShare is when what has begun is given up.
-	finishShare = 0.95
+	// finishShare is when what has begun is given up. The rest is for taking the
+	// own entry back and for ending; targets work on nothing in the last sixth.
+	finishShare = 0.85
 )
 
 // serveHTTP serves callers, the balancer and metrics until the context ends.
