Give the last call of a leaving VM its time

Cause: the bound of the last call was declared and not set, so a VM that stopped did not take its entry back, and the others counted it until its lease ended. The test's store ignored the context of the call; it now answers as a store would, and TestAnnouncedUntilItLeaves failed before the change.

--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -81,6 +81,7 @@
 		// With the timeout of a call below the shortest time in which a
 		// configuration has to be in force.
 		RenewReading: 600 * time.Millisecond,
+		Leave:        time.Duration(leaveShare * float64(grace)),
 		Probe:        500 * time.Millisecond,
 	}
 }
--- a/entry/announcer/announcer_test.go
+++ b/entry/announcer/announcer_test.go
@@ -53,6 +53,8 @@
 func (s *fakeStore) End(ctx context.Context, lease uint64) error {
 	if s.hangs {
 		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
 		return ctx.Err()
 	}
 	s.mu.Lock()
--- a/entry/informer/client.go
+++ b/entry/informer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -92,7 +93,8 @@
 
 func (c *Client) lose(m registrar.Member, err error) {
 	kind := KindUnanswered
-	if e, ok := err.(*Error); ok {
+	var e *Error
+	if errors.As(err, &e) {
 		kind = e.Kind
 	}
 	c.count(string(kind))
--- a/entry/informer/informer_test.go
+++ b/entry/informer/informer_test.go
@@ -261,8 +261,11 @@
 func TestSeniorsAgree(t *testing.T) {
 	address := netip.MustParseAddrPort("10.0.0.1:7")
 	members := []registrar.Member{
-		{Name: "a", Domain: "x", Address: address}, {Name: "b", Domain: "x", Address: address},
-		{Name: "c", Domain: "x", Address: address}, {Name: "d", Domain: "y", Address: address}, {Name: "e", Domain: "x"},
+		{Name: "a", Domain: "x", Address: address},
+		{Name: "b", Domain: "x", Address: address},
+		{Name: "c", Domain: "x", Address: address},
+		{Name: "d", Domain: "y", Address: address},
+		{Name: "e", Domain: "x"},
 	}
 	counts := make(map[int]int)
 	for _, m := range members[:3] {
