--- a/jackdawctl/commander/explain.go
+++ b/jackdawctl/commander/explain.go
@@ -24,12 +24,17 @@
 			&cli.StringFlag{Name: flagService, Usage: "service of the query"},
 			&cli.StringFlag{Name: flagCaller, Usage: "caller of the query"},
 			&cli.StringFlag{Name: flagQueryID, Usage: "identity of a query that was answered lately"},
+			&cli.StringFlag{Name: flagRequest, Usage: "id of a request that an entry VM answered, with --log"},
+			&cli.StringSliceFlag{Name: flagLog, Usage: "log `FILE` of entry VMs; repeat or separate by commas"},
 		},
 		Action: p.explain,
 	}
 }
 
 func (p *program) explain(ctx context.Context, cmd *cli.Command) error {
+	if cmd.IsSet(flagRequest) || cmd.IsSet(flagLog) {
+		return p.explainLog(cmd)
+	}
 	query := make(url.Values)
 	if id := cmd.String(flagQueryID); id != "" {
 		query.Set(adminapi.ParameterQueryID, id)
--- /dev/null
+++ b/jackdawctl/commander/explainlog.go
@@ -0,0 +1,95 @@
+package commander
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"jackdawcart.org/jackdawctl/investigator"
+)
+
+const (
+	flagLog     = "log"
+	flagRequest = "request"
+)
+
+// explainLog prints the story of a request from the logs of entry VMs.
+func (p *program) explainLog(cmd *cli.Command) error {
+	request, paths := cmd.String(flagRequest), cmd.StringSlice(flagLog)
+	if request == "" || len(paths) == 0 {
+		return usage("--%s and --%s are needed together", flagRequest, flagLog)
+	}
+	story, err := investigator.Find(func() (io.ReadCloser, error) { return openAll(paths) }, request)
+	var e *investigator.Error
+	if errors.As(err, &e) && e.Kind == investigator.KindNotFound {
+		return withCode(err, ExitNotFound)
+	}
+	if err != nil {
+		return err
+	}
+	return p.print(cmd, story, func() { p.printStory(story) })
+}
+
+// files reads files one after the other.
+type files struct {
+	io.Reader
+	open []*os.File
+}
+
+func openAll(paths []string) (io.ReadCloser, error) {
+	f := &files{}
+	var readers []io.Reader
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, errors.Join(err, f.Close())
+		}
+		f.open = append(f.open, file)
+		// A last line without an end must not join the next file's first one.
+		readers = append(readers, file, strings.NewReader("\n"))
+	}
+	f.Reader = io.MultiReader(readers...)
+	return f, nil
+}
+
+// Close closes all files.
+func (f *files) Close() error {
+	var errs []error
+	for _, file := range f.open {
+		errs = append(errs, file.Close())
+	}
+	return errors.Join(errs...)
+}
+
+func (p *program) printStory(story investigator.Story) {
+	line := func(format string, args ...any) { fmt.Fprintf(p.out, format+"\n", args...) }
+	line("%s on %s at %s", story.Request.Message, story.Request.Node, stamp(story.Request.At))
+	for _, f := range story.Request.Fields {
+		line("  %s: %s", f.Name, strings.ReplaceAll(f.Value, "; ", "\n    "))
+	}
+	line("what the VM came to believe in the 10 seconds before:")
+	for _, l := range story.Beliefs {
+		var fields []string
+		for _, f := range l.Fields {
+			fields = append(fields, f.Name+"="+f.Value)
+		}
+		line("  %s %s %s", stamp(l.At), l.Message, strings.Join(fields, " "))
+	}
+	line("troubles of other requests at its targets within a second:")
+	for _, t := range story.Targets {
+		var counts []string
+		for _, outcome := range slices.Sorted(maps.Keys(t.Others)) {
+			counts = append(counts, fmt.Sprintf("%d %s", t.Others[outcome], outcome))
+		}
+		line("  %s: %s, on %d VMs", t.ID, strings.Join(counts, ", "), t.VMs)
+	}
+	if story.Unreadable > 0 {
+		line("%d lines could not be read", story.Unreadable)
+	}
+}
--- a/jackdawctl/commander/run_test.go
+++ b/jackdawctl/commander/run_test.go
@@ -134,3 +134,34 @@
 		}
 	}
 }
+
+// On-call engineers have only logs: the story of a request must come from them
+// alone, and an id that they do not hold must be said so.
+func TestExplainFromLogs(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "entry.log")
+	const log = `ts=2026-03-03T10:00:20.300Z level=warn msg="store lost" node=vm-1 op=watch
+ts=2026-03-03T10:00:20.500Z level=info msg="request ended" node=vm-1 request=a verdict=partial troubles="s/i-1 first +0s 112ms open"`
+	if err := os.WriteFile(path, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	code := commander.Run(t.Context(), []string{"jackdawctl", "explain", "--log", path + "," + path, "--request", "a"}, &bytes.Buffer{}, &out, &errs)
+	if code != commander.ExitOK {
+		t.Fatalf("exit code %d: %s", code, &errs)
+	}
+	for _, want := range []string{"request ended on vm-1", "verdict: partial", "store lost", "i-1: "} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("output does not contain %q:\n%s", want, &out)
+		}
+	}
+	for args, want := range map[string]int{
+		"--request b --log " + path: commander.ExitNotFound,
+		"--request b":               commander.ExitUsage,
+		"--request b --log missing": commander.ExitFailure,
+	} {
+		all := append([]string{"jackdawctl", "explain"}, strings.Fields(args)...)
+		if code := commander.Run(t.Context(), all, &bytes.Buffer{}, &out, &errs); code != want {
+			t.Errorf("explain %s: exit code %d, want %d", args, code, want)
+		}
+	}
+}
