Remove what nothing uses any more, and split the follower

The budget of the hedger with a burst and a reserve, and older readings of the store, have no caller left. The follower says when an entry VM cannot be asked, and its members have a file of their own.

--- a/core/hedger/hedger.go
+++ b/core/hedger/hedger.go
@@ -69,12 +69,6 @@
 // SetBudget changes the share of sub-requests that may be sent again.
 func (s *State) SetBudget(share float64) { s.config.Budget = share }
 
-// SetBurst changes the most hedges that an unused budget allows at once.
-func (s *State) SetBurst(burst float64) {
-	s.config.Burst = burst
-	s.tokens = min(s.tokens, burst)
-}
-
 // Observe takes the latency of a sub-request into account.
 func (s *State) Observe(now time.Time, latency time.Duration) {
 	s.rotate(now)
@@ -105,16 +99,9 @@
 	s.tokens = min(s.tokens+float64(subs)*s.config.Budget, s.config.Burst)
 }
 
-// Grant adds budget that is not tied to sub-requests.
-func (s *State) Grant(tokens float64) { s.tokens = min(s.tokens+tokens, s.config.Burst) }
-
 // Withdraw takes the budget for one hedge or retry, if there is any.
-func (s *State) Withdraw() bool { return s.WithdrawAbove(0) }
-
-// WithdrawAbove takes the budget for one hedge or retry if the given share of
-// what an unused budget has beyond it is left.
-func (s *State) WithdrawAbove(share float64) bool {
-	if s.tokens < 1+share*max(s.config.Burst-1, 0) {
+func (s *State) Withdraw() bool {
+	if s.tokens < 1 {
 		return false
 	}
 	s.tokens--
--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -31,7 +31,7 @@
 func VM(key string) (string, bool) { return strings.CutPrefix(key, prefix) }
 
 // Read returns the entry VM that an item announces. One whose value cannot be
-// read counts among the others, but cannot be asked.
+// read, such as that of a removed key, has a name only.
 func Read(item storer.Item) (registrar.Member, bool) {
 	name, ok := VM(item.Key)
 	if !ok {
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,14 +10,13 @@
 	"jackdawcart.org/core/router"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
-	"jackdawcart.org/entry/announcer"
 	"jackdawcart.org/platform/decoder"
 	"jackdawcart.org/platform/storer"
 )
 
 // Store is what the follower reads from.
 type Store interface {
-	List(ctx context.Context, prefix string, freshness storer.Freshness) (storer.Listing, error)
+	List(ctx context.Context, prefix string) (storer.Listing, error)
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (storer.Listing, error)
 }
 
@@ -131,7 +128,7 @@
 	f.replaceTargets(listing)
 	var members []registrar.Member
 	for _, item := range listing.Items {
-		if member, ok := announcer.Read(item); ok {
+		if member, ok := f.member(item); ok {
 			members = append(members, member)
 		}
 	}
@@ -143,7 +140,7 @@
 	f.takeTables(listing)
 	f.changeTargets(listing)
 	for _, item := range listing.Items {
-		member, ok := announcer.Read(item)
+		member, ok := f.member(item)
 		switch {
 		case !ok:
 		case item.Gone:
@@ -155,24 +152,11 @@
 	f.count()
 }
 
-// count tells which entry VMs there are when that has changed.
-func (f *Follower) count() {
-	members := f.census.Members(f.timers.Now())
-	if slices.Equal(members, f.members) {
-		return
-	}
-	if len(members) != len(f.members) {
-		f.log.Info("entry VMs counted", zap.Int("before", len(f.members)), zap.Int("now", len(members)))
-	}
-	f.members = members
-	f.hear.EntryVMs(members)
-}
-
 // follow reads all keys and then their changes. It reads in full again
 // when the store has dropped the history that it needs.
 func (f *Follower) follow(ctx context.Context) {
 	for f.link.WaitUp(ctx) {
-		listing, err := f.store.List(ctx, everything, storer.Current)
+		listing, err := f.store.List(ctx, everything)
 		if err != nil {
 			f.failed(ctx, "read", everything, err)
 			continue
@@ -246,23 +230,6 @@
 	return listing, watchEnd{err: err, interrupted: waiting.Err() != nil, late: bounded.Err() != nil}
 }
 
-// leastGather is the least part of the pause after changes that remains when a
-// VM reads for many others.
-const leastGather = 0.25
-
-// gather returns the pause after changes. A VM that reads for others reads more
-// often: all VMs of a domain together still make fewer calls, and hear sooner.
-func (f *Follower) gather() time.Duration {
-	near := 0
-	for _, m := range f.members {
-		if m.Domain == f.config.Domain {
-			near++
-		}
-	}
-	share := max(1/math.Sqrt(float64(max(near, 1))), leastGather)
-	return time.Duration(share * float64(f.config.Gather))
-}
-
 func (f *Follower) succeeded() {
 	if outage, regained := f.link.Succeeded(f.timers.Now()); regained {
 		f.log.Info("store regained", zap.Duration("outage", outage))
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -107,7 +107,7 @@
 
 var errDown = &storer.Error{Op: "call", Kind: storer.KindUnreachable, Err: errors.New("the store is down")}
 
-func (s *fakeStore) List(_ context.Context, prefix string, _ storer.Freshness) (storer.Listing, error) {
+func (s *fakeStore) List(_ context.Context, prefix string) (storer.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
--- a/entry/informer/client.go
+++ b/entry/informer/client.go
@@ -63,7 +63,7 @@
 	c.mu.Lock()
 	seniors := c.seniors
 	c.mu.Unlock()
-	for _, m := range seniors {
+	for i, m := range seniors {
 		if c.timers.Now().Before(c.avoid[m.Name]) {
 			continue
 		}
@@ -71,6 +71,10 @@
 		if err == nil {
 			c.count("answered")
 			c.relyOn(m, after)
+			if i == 0 {
+				// Nobody else is asked while the first one answers.
+				clear(c.avoid)
+			}
 			return listing, true
 		}
 		if ctx.Err() != nil {
