Simplify what the last reading found, without a change of behaviour

The follower's Run only called another method; the name under a key was read by an exported function with one caller; the number of ends that count as heard was worked out twice; two comments on the kept targets no longer fitted.

--- a/core/placer/evidence.go
+++ b/core/placer/evidence.go
@@ -57,8 +57,11 @@
 		if !known || !asked {
 			continue
 		}
-		for i := range min(e.Answered+e.Failed, maxHeard) {
-			p.judge(now, t, i*(e.Answered+e.Failed) < e.Failed*min(e.Answered+e.Failed, maxHeard))
+		// The ends that count hold as many failures for their number as all ends.
+		ends := e.Answered + e.Failed
+		heard := min(ends, maxHeard)
+		for i := range heard {
+			p.judge(now, t, i*ends < e.Failed*heard)
 		}
 		if e.Answered > 0 {
 			relative := time.Duration(e.Latency * float64(relativeLatency))
--- a/core/placer/kept.go
+++ b/core/placer/kept.go
@@ -12,9 +12,9 @@
 
 // kept says which of the targets of a service this VM keeps connections to.
 type kept struct {
-	// near marks the targets of the own failure domain, if all targets are kept.
+	// near marks the targets of the own failure domain.
 	near []bool
-	// chosen marks the kept targets, if they are only some.
+	// chosen marks the kept targets; it is nil if all are kept.
 	chosen []bool
 }
 
--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -27,13 +27,10 @@
 	Address netip.AddrPort `json:"address"`
 }
 
-// VM returns the name of the entry VM that is announced under a key.
-func VM(key string) (string, bool) { return strings.CutPrefix(key, prefix) }
-
 // Read returns the entry VM that an item announces. One whose value cannot be
 // read, such as that of a removed key, has a name only.
 func Read(item storer.Item) (registrar.Member, bool) {
-	name, ok := VM(item.Key)
+	name, ok := strings.CutPrefix(item.Key, prefix)
 	if !ok {
 		return registrar.Member{}, false
 	}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -118,11 +118,6 @@
 // two watches cost two.
 const everything = ""
 
-// Run keeps the configuration and the registrations current.
-func (f *Follower) Run(ctx context.Context) {
-	f.follow(ctx)
-}
-
 func (f *Follower) replaceAll(listing storer.Listing) {
 	f.takeTables(listing)
 	f.replaceTargets(listing)
@@ -152,9 +147,10 @@
 	f.count()
 }
 
-// follow reads all keys and then their changes. It reads in full again
-// when the store has dropped the history that it needs.
-func (f *Follower) follow(ctx context.Context) {
+// Run keeps the configuration and the registrations current: it reads all keys and
+// then their changes, and in full again when the store has dropped the history
+// that it needs.
+func (f *Follower) Run(ctx context.Context) {
 	for f.link.WaitUp(ctx) {
 		listing, err := f.store.List(ctx, everything)
 		if err != nil {
