Bound the head and the body of a target's answer

Cause: http.ReadResponse limits no head, and closing a response body reads it to its end. A target that sends without end held an exchange until its deadline and took 0.9 to 2.9 GB of heap with four such targets at once (head), or 57 to 61 MB (body); the smallest VMs have 184 MB. Change: entry/courier ends a head at 64 KB and reads long bodies in chunks from 12 MB that all answers share, each at most as much as is still free. It doesn't close a body after an error; the connection is closed instead. core/pooler and the clients of the store end a head at 64 KB instead of 10 MB.

--- a/core/keeper/client.go
+++ b/core/keeper/client.go
@@ -24,6 +24,8 @@
 	// JSON encodes one byte of a value as up to six bytes.
 	maxEntryBytes = 6*MaxValueBytes + 8<<10
 	maxErrorBytes = 4 << 10
+	// maxHeadBytes bounds the status line and headers of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 const defaultCallTimeout = 2 * time.Second
@@ -49,6 +51,9 @@
 	if s.CallTimeout <= 0 {
 		s.CallTimeout = defaultCallTimeout
 	}
+	if s.Transport == nil {
+		s.Transport = newTransport()
+	}
 	return &Client{
 		base:    url.URL{Scheme: "http", Host: s.Address.String()},
 		http:    http.Client{Transport: s.Transport, CheckRedirect: refuseRedirect},
@@ -56,6 +61,13 @@
 	}
 }
 
+// newTransport returns net/http's default transport with a lower limit on headers.
+func newTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	return transport
+}
+
 // refuseRedirect prevents net/http from sending a write a second time.
 func refuseRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
--- a/core/pooler/pool.go
+++ b/core/pooler/pool.go
@@ -21,6 +21,8 @@
 const (
 	// maxAnswerBytes bounds the size of a response body.
 	maxAnswerBytes = 1 << 20
+	// maxHeadBytes bounds the status line and headers of a response.
+	maxHeadBytes   = 64 << 10
 	connectTimeout = time.Second
 	// cancelGrace is how long a cancelled request may take to end before its
 	// connection is closed.
@@ -153,9 +155,10 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			return p.dial(ctx, dialer, reserve, network, addr)
 		},
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- /dev/null
+++ b/entry/courier/answer.go
@@ -0,0 +1,210 @@
+package courier
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+
+	"jackdawcart.org/core/placer"
+	"jackdawcart.org/platform/decoder"
+)
+
+// maxHeadBytes limits the status line and headers of an answer. net/http's parser
+// itself reads a head without limit.
+const maxHeadBytes = 64 << 10
+
+// Memory limits for the bodies of answers.
+const (
+	// chunkBytes is the size of the pieces in which a long body is read. The first
+	// piece of each body doesn't count towards maxLongBodyBytes.
+	chunkBytes = 64 << 10
+	// maxLongBodyBytes is shared by the bodies of all answers that are being read.
+	maxLongBodyBytes = 12 << 20
+)
+
+var (
+	errHeadTooLong  = fmt.Errorf("head of the answer is longer than %d bytes", maxHeadBytes)
+	errAnswerMemory = errors.New("no memory left for the body of the answer")
+)
+
+// headReader reads from a connection and fails if the head of an answer is too
+// long. Only the goroutine that reads the connection uses it.
+type headReader struct {
+	raw    net.Conn
+	inHead bool
+	left   int
+}
+
+// beginHead applies the limit to the bytes that follow.
+func (r *headReader) beginHead() { r.inHead, r.left = true, maxHeadBytes }
+
+// endHead lifts the limit.
+func (r *headReader) endHead() { r.inHead = false }
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.inHead {
+		return r.raw.Read(p)
+	}
+	if r.left == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.raw.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
+// bodyMemory limits the memory for long bodies of answers across all targets. A
+// body may hold as much as is still free, so targets that send without end always
+// leave room for the answers of others.
+type bodyMemory struct {
+	mu   sync.Mutex
+	free int
+}
+
+func newBodyMemory() *bodyMemory { return &bodyMemory{free: maxLongBodyBytes} }
+
+// reserveChunk reserves a chunk for a body that holds the given number of bytes,
+// and reports whether there is room for it.
+func (m *bodyMemory) reserveChunk(held int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if held+chunkBytes > m.free-chunkBytes {
+		return false
+	}
+	m.free -= chunkBytes
+	return true
+}
+
+func (m *bodyMemory) release(held int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.free += held
+}
+
+// readBody reads a body of at most limit bytes. It doesn't close the body, because
+// net/http would first read it to its end, which may never come. After an error the
+// connection is closed instead.
+func readBody(response *http.Response, limit int64, memory *bodyMemory) ([]byte, error) {
+	length := response.ContentLength
+	switch {
+	case response.Body == http.NoBody:
+		return nil, nil
+	case length > limit:
+		return nil, fmt.Errorf("body has %d bytes, limit %d", length, limit)
+	case length >= 0 && length <= chunkBytes:
+		text := make([]byte, length)
+		_, err := io.ReadFull(response.Body, text)
+		return text, err
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, chunkBytes))
+	if err != nil || len(text) < chunkBytes {
+		return text, err
+	}
+	return readLongBody(text, response.Body, limit, memory)
+}
+
+// readLongBody reads the rest of a body in chunks, which are joined only when it is
+// complete.
+func readLongBody(first []byte, body io.Reader, limit int64, memory *bodyMemory) ([]byte, error) {
+	chunks := net.Buffers{first}
+	size, held := int64(len(first)), 0
+	defer func() { memory.release(held) }()
+	for {
+		if !memory.reserveChunk(held) {
+			return nil, errAnswerMemory
+		}
+		held += chunkBytes
+		chunk := make([]byte, chunkBytes)
+		n, err := fill(body, chunk)
+		chunks = append(chunks, chunk[:n])
+		size += int64(n)
+		switch {
+		case size > limit:
+			return nil, fmt.Errorf("body is longer than %d bytes", limit)
+		case errors.Is(err, io.EOF):
+			return joinChunks(chunks, size), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// fill reads until the chunk is full. Unlike io.ReadFull it returns io.EOF only at
+// the end of the body, and io.ErrUnexpectedEOF only from a body that broke off.
+func fill(body io.Reader, chunk []byte) (int, error) {
+	n := 0
+	for n < len(chunk) {
+		k, err := body.Read(chunk[n:])
+		n += k
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+func joinChunks(chunks [][]byte, size int64) []byte {
+	text := make([]byte, 0, size)
+	for _, chunk := range chunks {
+		text = append(text, chunk...)
+	}
+	return text
+}
+
+func errorReply(err error) Reply {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return Reply{Result: placer.Lost, Err: &Error{Op: "read", Kind: KindTimeout, Err: err}}
+	}
+	return Reply{Result: placer.Failed, Err: &Error{Op: "read", Kind: KindGarbled, Err: err}}
+}
+
+// readAnswer reads the answer to the exchange and skips answers to other
+// requests.
+func (c *connection) readAnswer(e *Exchange) (reply Reply, reusable bool) {
+	for range maxSkippedAnswers {
+		c.reader.beginHead()
+		response, err := http.ReadResponse(c.buffer, &http.Request{Method: e.request.Method}) //nolint:bodyclose // see readBody
+		c.reader.endHead()
+		if err != nil {
+			return errorReply(err), false
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		body, err := readBody(response, e.request.MaxBodyBytes, c.pool.memory)
+		if err != nil {
+			return errorReply(err), false
+		}
+		reply = Reply{
+			Status: response.StatusCode, Header: response.Header, Body: body,
+			Answer: decoder.ParseAnswerHeader(response.StatusCode, response.Header),
+		}
+		if id := reply.Answer.RequestID; id != "" && id != e.request.RequestID {
+			continue
+		}
+		reply.Result, reply.Err = classify(reply)
+		return reply, !response.Close && c.buffer.Buffered() == 0
+	}
+	return errorReply(errors.New("answers to other requests only")), false
+}
+
+// classify returns the result for an answer that was read completely.
+func classify(r Reply) (placer.Result, error) {
+	switch {
+	case r.Answer.NotRun:
+		return placer.Refused, nil
+	case r.Answer.Encoded:
+		return placer.Failed, &Error{Op: "read", Kind: KindGarbled, Err: errors.New("the body is encoded")}
+	case r.Status >= http.StatusInternalServerError:
+		return placer.Failed, nil
+	case r.Status < http.StatusMultipleChoices && r.Answer.Stamp == "":
+		return placer.Failed, &Error{Op: "read", Kind: KindGarbled, Err: errors.New("success without a signature")}
+	default:
+		return placer.Answered, nil
+	}
+}
--- a/entry/courier/exchange.go
+++ b/entry/courier/exchange.go
@@ -87,6 +87,8 @@
 	// setReachable reports whether connections to a target can be opened.
 	setReachable func(target string, reachable bool)
 
+	memory *bodyMemory
+
 	mu    sync.Mutex
 	pools map[string]*Pool
 }
@@ -95,7 +97,7 @@
 // with connection events (opened, lost, dial-failed), and setReachable whenever a
 // target was found to be reachable or unreachable, also if that is not new.
 func New(dial Dialer, count func(event string), setReachable func(target string, reachable bool)) *Pools {
-	return &Pools{dial: dial, count: count, setReachable: setReachable, pools: make(map[string]*Pool)}
+	return &Pools{dial: dial, count: count, setReachable: setReachable, memory: newBodyMemory(), pools: make(map[string]*Pool)}
 }
 
 // Options limit the connections to a target.
@@ -120,7 +122,7 @@
 	if ok {
 		go p.Close()
 	}
-	p = newPool(c.dial, c.count, func(reachable bool) { c.setReachable(id, reachable) }, address, options)
+	p = newPool(c.dial, c.count, func(reachable bool) { c.setReachable(id, reachable) }, c.memory, address, options)
 	c.pools[id] = p
 	return p
 }
--- a/entry/courier/pool.go
+++ b/entry/courier/pool.go
@@ -29,6 +29,7 @@
 	dial         Dialer
 	count        func(event string)
 	setReachable func(reachable bool)
+	memory       *bodyMemory
 	address      netip.AddrPort
 
 	mu      sync.Mutex
@@ -47,9 +48,9 @@
 	queue         []*Exchange
 }
 
-func newPool(dial Dialer, count func(string), setReachable func(bool), address netip.AddrPort, options Options) *Pool {
+func newPool(dial Dialer, count func(string), setReachable func(bool), memory *bodyMemory, address netip.AddrPort, options Options) *Pool {
 	options.MaxOpen = max(options.MaxOpen, 1)
-	return &Pool{dial: dial, count: count, setReachable: setReachable, address: address, options: options}
+	return &Pool{dial: dial, count: count, setReachable: setReachable, memory: memory, address: address, options: options}
 }
 
 func (p *Pool) setOptions(options Options) {
--- a/failuretests/launcher/cluster.go
+++ b/failuretests/launcher/cluster.go
@@ -134,13 +134,13 @@
 	if c.PartitionedDomain == "" {
 		return nil
 	}
-	always := func(netip.AddrPort) bool { return true }
+	always := func(_, _ netip.AddrPort) bool { return true }
 	if err := c.addProxy(c.address(firstProxyPort), c.Platform, always); err != nil {
 		return err
 	}
 	for i, n := range c.Nodes {
-		crossesPartition := func(client netip.AddrPort) bool {
-			process, ok := c.clientProcess(client)
+		crossesPartition := func(client, server netip.AddrPort) bool {
+			process, ok := c.clientProcess(client, server)
 			return !ok || (c.domainOf(process) == c.PartitionedDomain) != (n.Domain == c.PartitionedDomain)
 		}
 		err := errors.Join(
@@ -154,7 +154,7 @@
 	return nil
 }
 
-func (c *Cluster) addProxy(listen, target netip.AddrPort, crossesPartition func(netip.AddrPort) bool) error {
+func (c *Cluster) addProxy(listen, target netip.AddrPort, crossesPartition func(client, server netip.AddrPort) bool) error {
 	p, err := NewProxy(listen, target, crossesPartition)
 	if err != nil {
 		return err
--- a/failuretests/launcher/proxy.go
+++ b/failuretests/launcher/proxy.go
@@ -26,9 +26,9 @@
 type Proxy struct {
 	target   netip.AddrPort
 	listener net.Listener
-	// crossesPartition reports whether the connection of a client can be
+	// crossesPartition reports whether the connection from client to server can be
 	// interrupted.
-	crossesPartition func(client netip.AddrPort) bool
+	crossesPartition func(client, server netip.AddrPort) bool
 
 	mu          sync.Mutex
 	modeChanged *sync.Cond
@@ -41,13 +41,14 @@
 // client is the process that opened a connection. It is classified only when
 // the mode requires it, because finding the process is slow.
 type client struct {
-	address                      netip.AddrPort
+	// address and server are the two ends of its connection to the proxy.
+	address, server              netip.AddrPort
 	classified, crossesPartition bool
 }
 
 // NewProxy starts a proxy that listens on one address and forwards connections
 // to target.
-func NewProxy(listen, target netip.AddrPort, crossesPartition func(client netip.AddrPort) bool) (*Proxy, error) {
+func NewProxy(listen, target netip.AddrPort, crossesPartition func(client, server netip.AddrPort) bool) (*Proxy, error) {
 	listener, err := net.Listen("tcp", listen.String())
 	if err != nil {
 		return nil, fmt.Errorf("launcher: proxy: %w", err)
@@ -88,7 +89,7 @@
 
 func (p *Proxy) classify(source *client) {
 	if !source.classified {
-		source.crossesPartition, source.classified = p.crossesPartition(source.address), true
+		source.crossesPartition, source.classified = p.crossesPartition(source.address, source.server), true
 	}
 }
 
@@ -118,7 +119,10 @@
 }
 
 func (p *Proxy) serve(accepted *net.TCPConn) {
-	source := &client{address: accepted.RemoteAddr().(*net.TCPAddr).AddrPort()}
+	source := &client{
+		address: accepted.RemoteAddr().(*net.TCPAddr).AddrPort(),
+		server:  accepted.LocalAddr().(*net.TCPAddr).AddrPort(),
+	}
 	if !p.add(accepted, source) {
 		reset(accepted)
 		return
