Throttle overloaded indexes, and repeat refused sub-requests at rejecting replicas

Change: core/throttler rejects a share of the queries over an index before any work has begun, by the share of recent ones that overload made fail or late; urgent ones are admitted first, and the share returns within two seconds. A rejected caller is told to return after half to one and a half latency objectives. A repeat, not a hedge, may go to a replica that rejects a part of what arrives. With 84 VMs one VM sees too few queries to throttle.

--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -392,3 +392,40 @@
 		t.Fatalf("%d of %d requests went to the healthy replica, want 6 of 10", l.sent["i-2"], total)
 	}
 }
+
+// Two of three replicas reject three in five sub-requests, and the sound one is silent
+// under the load of all. A sub-request that one of the rejecting replicas refused must
+// be repeated at the other one: it found no target for a tenth of a second while the
+// budget of repeats was unused, and its query failed. A hedge there would only add load.
+func TestRefusedSubRequestIsRepeatedAtRejectingReplica(t *testing.T) {
+	l := newLoad(3)
+	send := func(target int) placer.Placement {
+		placed, outcome := l.placer.Place(l.now, placer.Request{Service: "shard", Targets: l.targets[target : target+1], MaxConnections: 100})
+		if outcome != placer.Placed {
+			t.Fatalf("outcome %v, want placed", outcome)
+		}
+		return placed
+	}
+	for i := range 20 {
+		l.now = l.now.Add(20 * time.Millisecond)
+		rejecting := placer.Answered
+		if i%5 < 3 {
+			rejecting = placer.Refused
+		}
+		for target, result := range []placer.Result{rejecting, rejecting, placer.Answered} {
+			l.placer.Ended(l.now.Add(2*time.Millisecond), longRoute, latencyObjective, send(target), result)
+		}
+	}
+	send(2)
+	l.now = l.now.Add(100 * time.Millisecond)
+	repeat := placer.Request{Service: "shard", Targets: l.targets, MaxConnections: 100, Avoid: []string{"i-0"}, Repeat: true}
+	hedge := repeat
+	hedge.Hedge = true
+	if _, outcome := l.placer.Place(l.now, hedge); outcome != placer.NoTarget {
+		t.Errorf("hedge has outcome %v, want no target", outcome)
+	}
+	placed, outcome := l.placer.Place(l.now, repeat)
+	if outcome != placer.Placed || placed.Record.ID != "i-1" {
+		t.Errorf("repeat has outcome %v and target %q, want i-1", outcome, placed.Record.ID)
+	}
+}
--- /dev/null
+++ b/entry/responder/admission.go
@@ -0,0 +1,95 @@
+package responder
+
+import (
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/forwarder"
+	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/throttler"
+)
+
+// admission holds the throttle of each index. Only scatter-gather routes have one:
+// the other requests waste no work of other shards when a target refuses them.
+type admission struct {
+	mu        sync.Mutex
+	throttles map[string]*throttler.State
+}
+
+func newAdmission() *admission { return &admission{throttles: make(map[string]*throttler.State)} }
+
+// refusal is what a throttle knew when it rejected a query.
+type refusal struct{ share, queries, served float64 }
+
+// fields returns the log fields of the refusal.
+func (r refusal) fields(priority int) []zap.Field {
+	return []zap.Field{
+		zap.Int("priority", priority), zap.Float64("admitted-share", r.share),
+		zap.Float64("recent-queries", r.queries), zap.Float64("recent-served", r.served),
+	}
+}
+
+// admit reports whether a query is admitted.
+func (a *admission) admit(now time.Time, route *router.Route) (refusal, bool) {
+	if !route.Gathers() {
+		return refusal{}, true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := a.throttle(now, route)
+	share := t.Share(now, route.Priority)
+	if t.Admit(now, route.Priority, rand.Float64()) {
+		return refusal{}, true
+	}
+	queries, served := t.Counts()
+	return refusal{share: share, queries: queries, served: served}, false
+}
+
+// ended records the end of an admitted query.
+func (a *admission) ended(now time.Time, route *router.Route, served bool) {
+	if !route.Gathers() {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.throttle(now, route).Ended(now, route.Priority, served)
+}
+
+// throttle returns the throttle of a route's index, which is identified by its first
+// shard. It drops the throttles of idle indexes whenever another one comes into use.
+func (a *admission) throttle(now time.Time, route *router.Route) *throttler.State {
+	index := route.Shards[0]
+	t, ok := a.throttles[index]
+	if !ok {
+		maps.DeleteFunc(a.throttles, func(_ string, t *throttler.State) bool { return t.Idle(now) })
+		t = throttler.New(throttler.DefaultConfig())
+		a.throttles[index] = t
+	}
+	return t
+}
+
+// retryAfterOverload returns when the caller of a rejected query may try again. By
+// about a latency objective later the queries that are running have ended. The random
+// spread keeps rejected callers from returning together.
+func retryAfterOverload(latencyObjective time.Duration) time.Duration {
+	return latencyObjective/2 + rand.N(max(latencyObjective, 1))
+}
+
+// overloaded reports whether overload made the query fail or late: a full target
+// refused a part of it, and it was not served in time.
+func (c *call) overloaded(decision forwarder.Decision, took time.Duration) bool {
+	if c.callerLeft || (decision == forwarder.Complete || decision == forwarder.Partial) && took <= c.route.LatencyObjective {
+		return false
+	}
+	for _, s := range c.subRequests {
+		if !s.ended.IsZero() && s.result == placer.Refused {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -74,11 +74,12 @@
 // Responder is the HTTP handler for requests of callers.
 type Responder struct {
 	Dependencies
-	config   Config
-	log      *zap.Logger
-	metrics  metrics
-	lag      timer.Lag
-	stopping atomic.Bool
+	config    Config
+	log       *zap.Logger
+	metrics   metrics
+	lag       timer.Lag
+	admission *admission
+	stopping  atomic.Bool
 }
 
 type metrics struct {
@@ -89,7 +90,7 @@
 // New returns the handler.
 func New(config Config, dependencies Dependencies, scope tally.Scope, log *zap.Logger) *Responder {
 	return &Responder{
-		Dependencies: dependencies, config: config, log: log,
+		Dependencies: dependencies, config: config, log: log, admission: newAdmission(),
 		metrics: metrics{scope: scope, latency: scope.Histogram("request_latency", meter.LatencyBuckets)},
 	}
 }
@@ -124,6 +125,11 @@
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "route without service", noConfigurationRetry)
 		return
 	}
+	if overload, ok := r.admission.admit(arrived, route); !ok {
+		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "overload", retryAfterOverload(route.LatencyObjective),
+			overload.fields(route.Priority)...)
+		return
+	}
 	r.run(w, request, &call{
 		responder: r, table: table, route: route, services: services, arrived: arrived,
 		id: decoder.RequestID(request.Header), deadline: r.deadline(request, route, arrived), body: body,
@@ -176,14 +182,14 @@
 }
 
 // refuse answers a request without sending it to a target.
-func (r *Responder) refuse(w http.ResponseWriter, request *http.Request, arrived time.Time, status int, reason string, retry time.Duration) {
+func (r *Responder) refuse(w http.ResponseWriter, request *http.Request, arrived time.Time, status int, reason string, retry time.Duration, details ...zap.Field) {
 	if retry > 0 {
 		decoder.SetRetryAfter(w.Header(), retry)
 	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	r.metrics.scope.Tagged(map[string]string{"reason": reason}).Counter("requests_refused").Inc(1)
-	r.log.Info("request refused", zap.String("request", decoder.RequestID(request.Header)), zap.String("host", request.Host),
+	r.log.With(details...).Info("request refused", zap.String("request", decoder.RequestID(request.Header)), zap.String("host", request.Host),
 		zap.String("path", request.URL.Path), zap.Int("status", status), zap.String("reason", reason),
 		zap.Int64("version", version(r.Directory.Table())), zap.Duration("took", r.Timers.Now().Sub(arrived)))
 }
@@ -200,7 +206,9 @@
 	defer span.End()
 	decision := c.run(ctx, request)
 	status := c.write(w, decision)
-	took := r.Timers.Now().Sub(c.arrived)
+	now := r.Timers.Now()
+	took := now.Sub(c.arrived)
+	r.admission.ended(now, c.route, !c.overloaded(decision, took))
 	r.metrics.latency.RecordDuration(took)
 	r.metrics.scope.Tagged(map[string]string{"verdict": decision.String()}).Counter("requests_ended").Inc(1)
 	span.SetAttributes(attribute.Int("status", status))
--- a/entry/responder/responder_test.go
+++ b/entry/responder/responder_test.go
@@ -30,6 +30,7 @@
 type fixture struct {
 	*responder.Responder
 	directory *directory
+	scope     tally.TestScope
 	targets   map[string][]*standin.Target
 }
 
@@ -46,7 +47,7 @@
 // doesn't miss.
 func newFixtureWithObjective(t *testing.T, shards int, objective time.Duration) *fixture {
 	t.Helper()
-	fx := &fixture{directory: &directory{targets: make(map[string][]registrar.Record)}, targets: make(map[string][]*standin.Target)}
+	fx := &fixture{scope: tally.NewTestScope("", nil), directory: &directory{targets: make(map[string][]registrar.Record)}, targets: make(map[string][]*standin.Target)}
 	names := []string{"plain"}
 	var shardNames []string
 	for i := range shards {
@@ -87,7 +88,7 @@
 		Domain: "a", Directory: fx.directory, Pools: pools, Timers: timer.NewService(), Spans: tracer.Disabled(),
 		Placer:    placer.New(placer.DefaultConfig(), "vm-1", "a", rand.New(rand.NewPCG(1, 2))),
 		OnVacated: func(string) {},
-	}, tally.NoopScope, zap.NewNop())
+	}, fx.scope, zap.NewNop())
 	return fx
 }
 
