Keep panics and stalled callers from harming other requests

Cause: a panic in the goroutine that reads a target's answers ended the process. One in a request's handler closed the caller's connection without an answer or a line with its id. A caller that stopped in the middle of a body held its connection and memory for as long as it liked: no deadline holds while a request is active. Change: the exchange, the request, or the connection of another VM ends alone, with stack and count. A body has to arrive by the request's deadline; else 408, which is true as nothing was sent, and the connection closes.

--- a/entry/courier/connection.go
+++ b/entry/courier/connection.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"jackdawcart.org/core/placer"
@@ -84,8 +86,14 @@
 	return buffers.WriteTo(c.raw)
 }
 
-// read handles answers until the connection is closed.
+// read handles answers until the connection is closed. A panic, which bytes of a
+// target may cause, ends the connection and its exchange, and not the process.
 func (c *connection) read() {
+	defer func() {
+		if v := recover(); v != nil {
+			c.endAfterPanic(v)
+		}
+	}()
 	for {
 		_, err := c.buffer.Peek(1)
 		e := c.current()
@@ -104,6 +112,18 @@
 	}
 }
 
+func (c *connection) endAfterPanic(v any) {
+	c.pool.count("panicked")
+	err := &Error{Op: "read", Kind: KindPanic, Err: fmt.Errorf("%v at %s", v, debug.Stack())}
+	if e := c.current(); e != nil {
+		c.fail(e, placer.Lost, err)
+		return
+	}
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.drop(c)
+}
+
 func (c *connection) current() *Exchange {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
--- a/entry/courier/courier_test.go
+++ b/entry/courier/courier_test.go
@@ -355,3 +355,25 @@
 		check(t, "reachable", <-reachable, true)
 	}
 }
+
+// A panic in the handling of one answer must not end the process, nor hold up the next
+// request to that target.
+func TestPanicEndsOneExchange(t *testing.T) {
+	tgt := newTarget(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			answer(c, request.Header.Get("Request-Id"), "x")
+		}
+	})
+	p := pool(t, tgt.address, 1)
+	called := make(chan struct{})
+	p.Send(time.Now(), newRequest("a", time.Second), func(courier.Reply) {
+		close(called)
+		panic("unexpected answer")
+	})
+	<-called
+	check(t, "next answer", send(t, p, newRequest("b", 2*time.Second)).Result, placer.Answered)
+}
--- a/entry/courier/error.go
+++ b/entry/courier/error.go
@@ -18,6 +18,9 @@
 	KindTimeout Kind = "timeout"
 	// KindGarbled means that an answer arrived that cannot be used.
 	KindGarbled Kind = "garbled"
+	// KindPanic means that the code that handled the answer panicked. The error holds
+	// the stack.
+	KindPanic Kind = "panic"
 	// KindRetired means that the pool of the target was closed, because the target
 	// was retired or has a new address, or the process stops.
 	KindRetired Kind = "retired"
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -105,12 +106,21 @@
 		connections.Go(func() {
 			defer conn.Close()
 			defer context.AfterFunc(ctx, func() { conn.Close() })()
+			defer s.logPanic(conn.RemoteAddr())
 			s.serveConn(ctx, newMessageConn(conn, s.config.MaxMessageBytes))
 		})
 	}
 	connections.Wait()
 }
 
+// logPanic keeps a panic that a message of another VM caused from ending the process.
+// It is to be deferred.
+func (s *Server) logPanic(peer net.Addr) {
+	if v := recover(); v != nil {
+		s.log.Error("request of polling VM panicked", zap.Stringer("peer", peer), zap.Any("panic", v), zap.ByteString("stack", debug.Stack()))
+	}
+}
+
 // idleTimeout is how long a connection may stay without a request before it is
 // closed.
 const idleTimeout = 5 * time.Second
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -99,9 +101,24 @@
 // to other entry VMs.
 func (r *Responder) Stop() { r.stopping.Store(true) }
 
-// ServeHTTP answers one request.
+// ServeHTTP answers one request. A panic ends that request only; as targets may have
+// run it, its caller is not told that it has not run.
 func (r *Responder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	arrived := r.Timers.Now()
+	defer func() {
+		if v := recover(); v != nil {
+			r.log.Error("request panicked", zap.String("request", decoder.RequestID(request.Header)),
+				zap.Any("panic", v), zap.ByteString("stack", debug.Stack()))
+			r.metrics.scope.Counter("requests_panicked").Inc(1)
+			// If an answer has begun, this changes nothing but closes the connection.
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	}()
+	r.serve(w, request, arrived)
+}
+
+func (r *Responder) serve(w http.ResponseWriter, request *http.Request, arrived time.Time) {
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -115,7 +132,8 @@
 		r.refuse(w, request, arrived, http.StatusNotFound, "no route", 0)
 		return
 	}
-	body, err := readBody(w, request, table.Limits.MaxBodyBytes)
+	deadline := r.deadline(request, route, arrived)
+	body, err := readBody(w, request, table.Limits.MaxBodyBytes, deadline)
 	if err != nil {
 		r.refuseBody(w, request, arrived, err)
 		return
@@ -132,7 +150,7 @@
 	}
 	r.run(w, request, &call{
 		responder: r, table: table, route: route, services: services, arrived: arrived,
-		id: decoder.RequestID(request.Header), deadline: r.deadline(request, route, arrived), body: body,
+		id: decoder.RequestID(request.Header), deadline: deadline, body: body,
 	})
 }
 
@@ -161,24 +179,39 @@
 	return arrived.Add(timeout)
 }
 
-func readBody(w http.ResponseWriter, request *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of a request. It ends at the deadline, so that a caller that
+// stops sending doesn't hold its connection and memory for longer.
+func readBody(w http.ResponseWriter, request *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	if request.Body == nil || request.ContentLength == 0 {
 		return nil, nil
 	}
+	// Setting a deadline fails for a writer without a connection, as in tests.
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(deadline)
 	reader := request.Body
 	if limit > 0 {
 		reader = http.MaxBytesReader(w, request.Body, limit)
 	}
-	return io.ReadAll(reader)
+	body, err := io.ReadAll(reader)
+	if err != nil {
+		// The deadline stays, because the server reads on to the end of the body.
+		return nil, err
+	}
+	_ = connection.SetReadDeadline(time.Time{})
+	return body, nil
 }
 
 func (r *Responder) refuseBody(w http.ResponseWriter, request *http.Request, arrived time.Time, err error) {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		r.refuse(w, request, arrived, http.StatusRequestEntityTooLarge, "body too large", 0)
-		return
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		r.refuse(w, request, arrived, http.StatusRequestTimeout, "body too slow", 0)
+	default:
+		r.refuse(w, request, arrived, http.StatusBadRequest, "body ended early", 0)
 	}
-	r.refuse(w, request, arrived, http.StatusBadRequest, "body ended early", 0)
 }
 
 // refuse answers a request without sending it to a target.
