--- a/jackdawctl/commander/explainlog.go
+++ b/jackdawctl/commander/explainlog.go
@@ -87,6 +87,10 @@
 		for _, outcome := range slices.Sorted(maps.Keys(t.Others)) {
 			counts = append(counts, fmt.Sprintf("%d %s", t.Others[outcome], outcome))
 		}
+		if len(counts) == 0 {
+			line("  %s: none", t.ID)
+			continue
+		}
 		line("  %s: %s, on %d VMs", t.ID, strings.Join(counts, ", "), t.VMs)
 	}
 	if explanation.Unreadable > 0 {
--- a/jackdawctl/investigator/explanation.go
+++ b/jackdawctl/investigator/explanation.go
@@ -25,7 +25,8 @@
 	// store, the configuration and the targets in the request's troubles.
 	StateChanges []Line `json:"Beliefs"`
 	// Targets holds the outcomes of other requests at each target in the request's
-	// troubles.
+	// troubles, or, for a request that was rejected because of overload, at each target
+	// that refused a part of another request.
 	Targets []Target
 	// Unreadable is the number of lines that are not log lines of an entry VM.
 	Unreadable int
@@ -105,7 +106,10 @@
 
 // collector gathers the log lines that are relevant to a request.
 type collector struct {
-	request      Line
+	request Line
+	// overload is true for a request that was rejected before any target was asked. The
+	// targets that refused other requests at that time are relevant to it.
+	overload     bool
 	targetIDs    []string
 	targets      map[string]*Target
 	vmsByTarget  map[string]map[string]bool
@@ -113,16 +117,22 @@
 }
 
 func newCollector(request Line) *collector {
-	c := &collector{request: request, targets: make(map[string]*Target), vmsByTarget: make(map[string]map[string]bool)}
+	c := &collector{
+		request: request, overload: request.Message == messageRefused && request.Value(fieldReason) == reasonOverload,
+		targets: make(map[string]*Target), vmsByTarget: make(map[string]map[string]bool),
+	}
 	for id := range outcomesByTarget(request) {
-		c.targetIDs = append(c.targetIDs, id)
-		c.targets[id] = &Target{ID: id, Others: make(map[string]int)}
-		c.vmsByTarget[id] = make(map[string]bool)
+		c.addTarget(id)
 	}
-	slices.Sort(c.targetIDs)
 	return c
 }
 
+func (c *collector) addTarget(id string) {
+	c.targetIDs = append(c.targetIDs, id)
+	c.targets[id] = &Target{ID: id, Others: make(map[string]int)}
+	c.vmsByTarget[id] = make(map[string]bool)
+}
+
 func (c *collector) visit(l Line) {
 	switch {
 	case l.Message == messageEnded:
@@ -143,9 +153,12 @@
 	return l.Message != messageRefused
 }
 
-// countOutcomes counts the troubles of another request at the same targets.
+// countOutcomes counts the troubles of another request at the relevant targets.
 func (c *collector) countOutcomes(l Line) {
 	for id, outcomes := range outcomesByTarget(l) {
+		if c.overload && c.targets[id] == nil && slices.Contains(outcomes, outcomeRefused) {
+			c.addTarget(id)
+		}
 		target, ok := c.targets[id]
 		if !ok {
 			continue
@@ -158,6 +171,7 @@
 }
 
 func (c *collector) sortedTargets() []Target {
+	slices.Sort(c.targetIDs)
 	sortedTargets := make([]Target, 0, len(c.targetIDs))
 	for _, id := range c.targetIDs {
 		target := c.targets[id]
--- a/jackdawctl/investigator/explanation_test.go
+++ b/jackdawctl/investigator/explanation_test.go
@@ -63,3 +63,33 @@
 		t.Errorf("got error %v, want kind not-found", err)
 	}
 }
+
+// For a request that was rejected because of overload, the explanation must hold the
+// targets that refused parts of other requests at that time. Its own line names none.
+func TestExplainOverload(t *testing.T) {
+	const text = `ts=2026-03-03T10:00:20.000Z level=info msg="request ended" process=entry node=vm-1 request=b verdict=unserved troubles="s/i-1 first +0s 3ms refused 503; t/i-4 first +0s 90ms answered"
+ts=2026-03-03T10:00:20.100Z level=info msg="request refused" process=entry node=vm-1 request=a reason=overload admitted-share=0.4
+ts=2026-03-03T10:00:20.200Z level=info msg="request ended" process=entry node=vm-2 request=c verdict=partial troubles="s/i-1 first +0s 3ms refused 503; s/i-2 hedge +36ms 54ms open"
+ts=2026-03-03T10:00:25.000Z level=info msg="request ended" process=entry node=vm-2 request=d verdict=partial troubles="s/i-9 first +0s 3ms refused 503"
+`
+	explanation, err := investigator.Explain(func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader(text)), nil }, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []investigator.Target{{ID: "i-1", Others: map[string]int{"refused": 2}, VMs: 2}}
+	if diff := cmp.Diff(want, explanation.Targets); diff != "" {
+		t.Errorf("targets (-want +got):\n%s", diff)
+	}
+}
+
+// A line of several megabytes must not end the reading of the log.
+func TestLongLine(t *testing.T) {
+	long := strings.Repeat("x", 5<<20) + "\n" + logText
+	explanation, err := investigator.Explain(func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader(long)), nil }, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(2, explanation.Unreadable); diff != "" {
+		t.Errorf("unreadable lines (-want +got):\n%s", diff)
+	}
+}
--- a/jackdawctl/investigator/line.go
+++ b/jackdawctl/investigator/line.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"time"
 
@@ -21,9 +22,14 @@
 	// fieldTroubles lists the sub-requests that failed, were slow or were still open
 	// at the end of the request.
 	fieldTroubles = "troubles"
+	fieldReason   = "reason"
 
 	messageEnded   = "request ended"
 	messageRefused = "request refused"
+
+	reasonOverload = "overload"
+	// outcomeRefused is the outcome of a sub-request that its target did not run.
+	outcomeRefused = "refused"
 )
 
 // Line is a parsed log line.
@@ -48,22 +54,44 @@
 	return ""
 }
 
+// maxLineBytes limits the memory for one line; the rest of a longer one is skipped.
 const maxLineBytes = 1 << 20
 
 // readLines calls visit for each log line. It returns the number of lines that are
-// not log lines, such as the stack trace of a crash.
+// not log lines, such as the stack trace of a crash or a line that is too long.
 func readLines(r io.Reader, visit func(Line)) (unreadable int, err error) {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		line, ok := parseLine(scanner.Bytes())
-		if !ok {
+	reader := bufio.NewReaderSize(r, maxLineBytes)
+	for {
+		text, err := reader.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
 			unreadable++
-			continue
+			err = skipLine(reader)
+			text = nil
+		}
+		if text = bytes.TrimRight(text, "\r\n"); len(text) > 0 {
+			if line, ok := parseLine(text); ok {
+				visit(line)
+			} else {
+				unreadable++
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return unreadable, nil
+		}
+		if err != nil {
+			return unreadable, err
+		}
+	}
+}
+
+// skipLine reads to the end of a line.
+func skipLine(reader *bufio.Reader) error {
+	for {
+		_, err := reader.ReadSlice('\n')
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
 		}
-		visit(line)
 	}
-	return unreadable, scanner.Err()
 }
 
 // parseLine decodes a logfmt line. It reports false for a line that is malformed or
