Accept again after failures, and keep incarnations and merged hits right

Cause: the peer server of an entry VM ended for good at its first failed accept, as without free descriptors, and the acceptor of sessions repeated a failing one without a pause. A gateway that reconnected to a relay it knew as dead recorded it with incarnation 0, so an older record replaced it, with the old address. merger.Merge returned a hit twice if others stood between its scores. Change: one accept loop with a growing pause for both. The record keeps the incarnation. Merge remembers the hits that it has returned.

--- a/core/acceptor/acceptor.go
+++ b/core/acceptor/acceptor.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -52,24 +53,47 @@
 
 // Run accepts sessions until the context ends, then waits for their handlers.
 func (a *Acceptor) Run(ctx context.Context, listener net.Listener) {
+	defer a.goroutines.Wait()
+	Each(ctx, listener, a.log, func(conn net.Conn) {
+		select {
+		case a.handshakes <- struct{}{}:
+			a.goroutines.Go(func() { a.serve(ctx, conn) })
+		default:
+			a.log.Warn("too many handshakes, connection refused", zap.Stringer("peer", conn.RemoteAddr()))
+			conn.Close()
+		}
+	})
+}
+
+// Pauses after a failed accept. It fails again at once while the process has no free
+// file descriptor.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+// Each calls handle for each connection of a listener until the context ends, and then
+// closes the listener.
+func Each(ctx context.Context, listener net.Listener, log *zap.Logger, handle func(net.Conn)) {
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
-	defer a.goroutines.Wait()
+	pause := minAcceptPause
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			a.log.Warn("accept failed", zap.Error(err))
+		if err == nil {
+			pause = minAcceptPause
+			handle(conn)
 			continue
 		}
+		log.Warn("accept failed", zap.Duration("pause", pause), zap.Error(err))
 		select {
-		case a.handshakes <- struct{}{}:
-			a.goroutines.Go(func() { a.serve(ctx, conn) })
-		default:
-			a.log.Warn("too many handshakes, connection refused", zap.Stringer("peer", conn.RemoteAddr()))
-			conn.Close()
+		case <-time.After(pause):
+			pause = min(2*pause, maxAcceptPause)
+		case <-ctx.Done():
+			return
 		}
 	}
 }
--- a/core/merger/merge.go
+++ b/core/merger/merge.go
@@ -26,8 +26,8 @@
 }
 
 // Merge returns the best hits of several lists, at most limit of them, in the
-// order of Compare. Consecutive hits with the same service and ID are returned
-// once.
+// order of Compare. Of the hits with the same service and ID only the best is
+// returned.
 func Merge(lists [][]Hit, limit int) []Hit {
 	queue := make(listHeap, 0, len(lists))
 	for _, list := range lists {
@@ -42,9 +42,11 @@
 	}
 	heap.Init(&queue)
 	merged := make([]Hit, 0, limit)
+	seen := make(map[hitKey]bool, limit)
 	for len(queue) > 0 && len(merged) < limit {
 		hit := queue[0][0]
-		if len(merged) == 0 || !sameHit(merged[len(merged)-1], hit) {
+		if key := (hitKey{hit.Service, hit.ID}); !seen[key] {
+			seen[key] = true
 			merged = append(merged, hit)
 		}
 		queue.advance()
@@ -52,7 +54,7 @@
 	return merged
 }
 
-func sameHit(a, b Hit) bool { return a.Service == b.Service && a.ID == b.ID }
+type hitKey struct{ service, id string }
 
 // listHeap is a heap of sorted, non-empty lists, ordered by their first hit.
 type listHeap [][]Hit
--- a/core/merger/merge_test.go
+++ b/core/merger/merge_test.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// A hit that several shards return with different scores must be listed once.
+func TestMergeDropsDuplicates(t *testing.T) {
+	got := merger.Merge([][]merger.Hit{{{ID: "x", Score: 5}, {ID: "x", Score: 3}}, {{ID: "y", Score: 4}, {ID: "z", Score: 1}}}, 3)
+	want := []merger.Hit{{ID: "x", Score: 5}, {ID: "y", Score: 4}, {ID: "z", Score: 1}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("hits (-want +got):\n%s", diff)
+	}
+}
+
 // A snapshot without a known shard map must not count as complete.
 func TestEmptyCoverageIsNotComplete(t *testing.T) {
 	var c merger.Coverage
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/acceptor"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/informer/informerpb"
 	"jackdawcart.org/platform/storer"
@@ -96,21 +97,15 @@
 // Serve answers requests on a listener until the context ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
 	var connections sync.WaitGroup
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			break
-		}
+	defer connections.Wait()
+	acceptor.Each(ctx, listener, s.log, func(conn net.Conn) {
 		connections.Go(func() {
 			defer conn.Close()
 			defer context.AfterFunc(ctx, func() { conn.Close() })()
 			defer s.logPanic(conn.RemoteAddr())
 			s.serveConn(ctx, newMessageConn(conn, s.config.MaxMessageBytes))
 		})
-	}
-	connections.Wait()
+	})
 }
 
 // logPanic keeps a panic that a message of another VM caused from ending the process.
--- a/gateway/subscriber/subscriber.go
+++ b/gateway/subscriber/subscriber.go
@@ -233,14 +233,15 @@
 func (s *Subscriber) recordPeer(peer *peerpb.Hello, addr netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.members[peer.Node]; ok && isLive(known) {
+	known, ok := s.members[peer.Node]
+	if ok && isLive(known) {
 		return
 	}
-	// The incarnation is 0, so that any record from a member update replaces this
-	// one.
+	// Any record of this incarnation replaces this one, but no older record does, which
+	// would be from before the relay left. Without a known record the incarnation is 0.
 	s.members[peer.Node] = &peerpb.Member{
 		Node: peer.Node, FailureDomain: peer.FailureDomain, RelayAddress: addr.String(),
-		State: peerpb.MemberState_MEMBER_STATE_ALIVE,
+		State: peerpb.MemberState_MEMBER_STATE_ALIVE, Incarnation: known.GetIncarnation(),
 	}
 }
 
--- a/gateway/subscriber/subscriber_test.go
+++ b/gateway/subscriber/subscriber_test.go
@@ -66,6 +66,7 @@
 type fixture struct {
 	*subscriber.Subscriber
 	t            *testing.T
+	relay        *relay
 	table        *planner.Table
 	stream       *messenger.Stream
 	dialRecorder *dialRecorder
@@ -78,7 +79,7 @@
 	settings := &loader.Settings{Node: "vm1", FailureDomain: "east", Relays: []netip.AddrPort{r.addr}}
 	peers := messenger.NewPeers(key{}, &peerpb.Hello{Node: "vm1", Role: peerpb.Role_ROLE_GATEWAY})
 	t.Cleanup(peers.Close)
-	f := &fixture{t: t, table: planner.NewTable(), dialRecorder: &dialRecorder{next: peers}}
+	f := &fixture{t: t, relay: r, table: planner.NewTable(), dialRecorder: &dialRecorder{next: peers}}
 	f.Subscriber = subscriber.New(settings, f.dialRecorder, f.table, timer.NewService(), zap.NewNop())
 	go f.Run(t.Context())
 	f.stream = <-r.stream
@@ -311,3 +312,22 @@
 		}
 	}
 }
+
+// A relay that was dead and is connected again must not lose its incarnation: a record
+// from before its death replaced the new one, and the gateway went back to the address
+// that the relay had then.
+func TestReconnectedRelayKeepsItsIncarnation(t *testing.T) {
+	f := newFixture(t)
+	f.sendMembers(member("r1", 5, dead))
+	f.stream.Close()
+	f.stream = <-f.relay.stream
+	f.sendMembers(member("r1", 4, alive))
+	for _, m := range f.Members() {
+		if diff := cmp.Diff(uint64(5), m.Incarnation); m.Node == "r1" && diff != "" {
+			t.Errorf("incarnation after an older record (-want +got):\n%s", diff)
+		}
+	}
+	if got, ok := f.RelayAddress("r1"); !ok || got != f.relay.addr {
+		t.Errorf("address %v, want that of the connected relay, %v", got, f.relay.addr)
+	}
+}
