Enforce the configured limits of a request's head

Cause: the limits on a head's size and time were decoded and not used. A caller that sent a head byte by byte had the whole idle timeout for each byte, and a body was unlimited if the configuration has no limit. If the peer port could not be bound, the process ended before its last log lines were written. Change: the head has its timeout from its first byte; a larger one gets 431; a body is limited to 1 MB without a configured limit; the process waits for its log. Result: TestSlowHead fails on the code before for a new and for a kept connection, the new cases of TestRefusals and TestBodyWithoutConfiguredLimit too.

--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -132,6 +132,10 @@
 		r.refuse(w, request, arrived, http.StatusNotFound, "no route", 0)
 		return
 	}
+	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headBytes(request) > limit {
+		r.refuse(w, request, arrived, http.StatusRequestHeaderFieldsTooLarge, "head too large", 0)
+		return
+	}
 	deadline := r.deadline(request, route, arrived)
 	body, err := readBody(w, request, table.Limits.MaxBodyBytes, deadline)
 	if err != nil {
@@ -179,6 +183,24 @@
 	return arrived.Add(timeout)
 }
 
+// headBytes returns the size of the request line and the headers of a request.
+func headBytes(request *http.Request) int {
+	const separators = len(": ") + len("\r\n")
+	n := len(request.Method) + len(request.RequestURI) + len(request.Proto) + separators
+	if request.Host != "" {
+		n += len("Host") + len(request.Host) + separators
+	}
+	for name, values := range request.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + separators
+		}
+	}
+	return n
+}
+
+// defaultMaxBodyBytes applies if the configuration has no limit.
+const defaultMaxBodyBytes = 1 << 20
+
 // readBody reads the body of a request. It ends at the deadline, so that a caller that
 // stops sending doesn't hold its connection and memory for longer.
 func readBody(w http.ResponseWriter, request *http.Request, limit int64, deadline time.Time) ([]byte, error) {
@@ -188,11 +210,10 @@
 	// Setting a deadline fails for a writer without a connection, as in tests.
 	connection := http.NewResponseController(w)
 	_ = connection.SetReadDeadline(deadline)
-	reader := request.Body
-	if limit > 0 {
-		reader = http.MaxBytesReader(w, request.Body, limit)
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(reader)
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
 	if err != nil {
 		// The deadline stays, because the server reads on to the end of the body.
 		return nil, err
--- a/entry/responder/responder_test.go
+++ b/entry/responder/responder_test.go
@@ -76,7 +76,7 @@
 	}
 	sharded := newRoute("/all/", true)
 	sharded.Split, sharded.Shards, sharded.MaxRecords, sharded.MinShardShare = nil, shardNames, 3, 0.75
-	fx.directory.table = router.NewTable(1, router.Limits{MaxBodyBytes: 1000},
+	fx.directory.table = router.NewTable(1, router.Limits{MaxBodyBytes: 1000, MaxHeaderBytes: 2000},
 		[]router.Route{newRoute("/once/", false), newRoute("/often/", true), sharded}, services)
 	dial := func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		var d net.Dialer
@@ -218,7 +218,16 @@
 	fx := newFixture(t, 0)
 	check(t, "no route", fx.do(http.MethodGet, "/other/q", "r1", "").Code, http.StatusNotFound)
 	check(t, "long body", fx.do(http.MethodPost, "/once/q", "r2", strings.Repeat("x", 1001)).Code, http.StatusRequestEntityTooLarge)
-	check(t, "runs", fx.runs("plain", "r1")+fx.runs("plain", "r2"), 0)
+	check(t, "long head", fx.do(http.MethodGet, "/once/"+strings.Repeat("q", 2000), "r3", "").Code, http.StatusRequestHeaderFieldsTooLarge)
+	check(t, "runs", fx.runs("plain", "r1")+fx.runs("plain", "r2")+fx.runs("plain", "r3"), 0)
+}
+
+// Without a limit in the configuration, a body without end must not use up the memory.
+func TestBodyWithoutConfiguredLimit(t *testing.T) {
+	fx := newFixture(t, 0)
+	fx.directory.table.Limits.MaxBodyBytes = 0
+	check(t, "long body", fx.do(http.MethodPost, "/once/q", "r1", strings.Repeat("x", 2<<20)).Code, http.StatusRequestEntityTooLarge)
+	check(t, "body", fx.do(http.MethodPost, "/once/q", "r2", strings.Repeat("x", 1<<19)).Code, http.StatusOK)
 }
 
 // Without a configuration the process does not know which routes exist, so it must
--- a/entry/runner/listener.go
+++ b/entry/runner/listener.go
@@ -45,9 +45,14 @@
 	}
 	switch state {
 	case http.StateNew, http.StateIdle:
-		conn.idleTimeout.Store(int64(l.limits().IdleTimeout))
+		limits := l.limits()
+		conn.idleTimeout.Store(int64(limits.IdleTimeout))
+		conn.headerTimeout.Store(int64(limits.HeaderTimeout))
+		conn.headDeadline.Store(nil)
 		conn.resetReadDeadline()
 	case http.StateActive:
+		conn.headerTimeout.Store(0)
+		conn.headDeadline.Store(nil)
 		// While a request runs, the server reads to detect a disconnected caller. An
 		// idle timeout would end that read.
 		conn.idleTimeout.Store(0)
@@ -60,8 +65,26 @@
 // deadline.
 type limitedConn struct {
 	net.Conn
-	// idleTimeout is a time.Duration; 0 means no timeout.
-	idleTimeout atomic.Int64
+	// idleTimeout and headerTimeout are of type time.Duration; 0 means no timeout.
+	// headerTimeout is 0 as well once the first byte of a head has arrived.
+	idleTimeout   atomic.Int64
+	headerTimeout atomic.Int64
+	// headDeadline is set while a head is being read.
+	headDeadline atomic.Pointer[time.Time]
+}
+
+// Read starts the header timeout at the first byte of a head, so that a caller that
+// sends one byte now and then doesn't hold the connection.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if timeout := time.Duration(c.headerTimeout.Swap(0)); timeout > 0 {
+			deadline := time.Now().Add(timeout)
+			c.headDeadline.Store(&deadline)
+			_ = c.Conn.SetReadDeadline(deadline)
+		}
+	}
+	return n, err
 }
 
 // resetReadDeadline replaces the read deadline by that of the new state.
@@ -71,9 +94,12 @@
 	_ = c.SetReadDeadline(time.Time{})
 }
 
-// SetReadDeadline sets the deadline for reads. The zero time means the idle timeout,
-// if there is one.
+// SetReadDeadline sets the deadline for reads. The zero time means the deadline of the
+// head that is being read, or the idle timeout, if there is one.
 func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	if head := c.headDeadline.Load(); t.IsZero() && head != nil {
+		t = *head
+	}
 	if idleTimeout := time.Duration(c.idleTimeout.Load()); t.IsZero() && idleTimeout > 0 {
 		t = time.Now().Add(idleTimeout)
 	}
--- a/entry/runner/listener_test.go
+++ b/entry/runner/listener_test.go
@@ -1,11 +1,13 @@
 package runner_test
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 
@@ -16,7 +18,12 @@
 // newServer serves a handler with an idle timeout.
 func newServer(t *testing.T, idle time.Duration, handler http.HandlerFunc) *httptest.Server {
 	t.Helper()
-	listener := runner.NewLimitedListener(func() router.Limits { return router.Limits{IdleTimeout: idle} })
+	return newLimitedServer(t, router.Limits{IdleTimeout: idle}, handler)
+}
+
+func newLimitedServer(t *testing.T, limits router.Limits, handler http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	listener := runner.NewLimitedListener(func() router.Limits { return limits })
 	server := httptest.NewUnstartedServer(handler)
 	server.Config.ConnState = listener.OnState
 	server.Listener = listener.Wrap(server.Listener)
@@ -64,3 +71,61 @@
 		t.Fatalf("read error %v, want EOF of a closed connection", err)
 	}
 }
+
+// A caller that sends a head one byte at a time must lose its connection after the
+// header timeout, also on a connection that has served a request. Each byte used to
+// leave it the whole idle timeout.
+func TestSlowHead(t *testing.T) {
+	server := newLimitedServer(t, router.Limits{IdleTimeout: 10 * time.Second, HeaderTimeout: 300 * time.Millisecond},
+		func(http.ResponseWriter, *http.Request) {})
+	for _, first := range []string{"", "GET / HTTP/1.1\r\nHost: x\r\n\r\n"} {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		if first != "" {
+			_, _ = io.WriteString(conn, first)
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response.Body.Close()
+		}
+		began := time.Now()
+		go func() {
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(conn, "G")
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
+		_ = conn.SetReadDeadline(began.Add(5 * time.Second))
+		if _, err := io.Copy(io.Discard, reader); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("connection is still open after %v, want it closed after 300ms", time.Since(began))
+		}
+	}
+}
+
+// A request that takes longer than the header timeout is not cut by it.
+func TestLongRequestOutlivesTheHeaderTimeout(t *testing.T) {
+	server := newLimitedServer(t, router.Limits{IdleTimeout: 10 * time.Second, HeaderTimeout: 100 * time.Millisecond},
+		func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(300 * time.Millisecond)
+			if r.Context().Err() == nil {
+				_, _ = io.WriteString(w, "done")
+			}
+		})
+	for range 2 {
+		response, err := server.Client().Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if err != nil || string(body) != "done" {
+			t.Fatalf("body %q, error %v", body, err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -255,6 +255,7 @@
 	if err != nil {
 		stop()
 		stopLog()
+		writing.Wait()
 		return err
 	}
 	running.Go(func() { e.peerServer.Serve(tasks, listener) })
