Split the limits of requests from the responder

Read as a newcomer would: the responder's file mixed the limits of heads and bodies with the course of a request, and a comment promised more than a begun answer gets. No change of behaviour.

--- a/entry/responder/misbehaving_test.go
+++ b/entry/responder/misbehaving_test.go
@@ -37,18 +37,25 @@
 	check(t, "other request", fx.do(http.MethodGet, "/often/q", "r2", "").Code, http.StatusOK)
 }
 
-// A caller that stops sending in the middle of a body must be answered at its deadline,
-// with a status that says that the request has not run, and lose its connection. It
-// held both for as long as it liked.
-func TestCallerStopsInBody(t *testing.T) {
-	fx := newFixture(t, 0)
+// dialResponder serves the fixture over HTTP and returns a connection to it.
+func dialResponder(t *testing.T, fx *fixture) net.Conn {
+	t.Helper()
 	server := httptest.NewServer(fx)
-	defer server.Close()
+	t.Cleanup(server.Close)
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// A caller that stops sending in the middle of a body must be answered at its deadline,
+// with a status that says that the request has not run, and lose its connection. It
+// held both for as long as it liked.
+func TestCallerStopsInBody(t *testing.T) {
+	fx := newFixture(t, 0)
+	conn := dialResponder(t, fx)
 	fmt.Fprint(conn, "POST /once/q HTTP/1.1\r\nHost: x.example\r\nRequest-Id: r1\r\nDeadline-Ms: 300\r\nContent-Length: 100\r\n\r\nhalf")
 	if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
 		t.Fatal(err)
@@ -70,13 +77,7 @@
 // longer than the deadline of that request.
 func TestSlowBodyInTime(t *testing.T) {
 	fx := newFixtureWithObjective(t, 0, 900*time.Millisecond)
-	server := httptest.NewServer(fx)
-	defer server.Close()
-	conn, err := net.Dial("tcp", server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
+	conn := dialResponder(t, fx)
 	reader := bufio.NewReader(conn)
 	for _, id := range []string{"r1", "r2"} {
 		fmt.Fprintf(conn, "POST /once/q HTTP/1.1\r\nHost: x.example\r\nRequest-Id: %s\r\nDeadline-Ms: 900\r\nContent-Length: 8\r\n\r\nhalf", id)
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -2,11 +2,8 @@
 package responder
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
@@ -110,7 +107,8 @@
 			r.log.Error("request panicked", zap.String("request", decoder.RequestID(request.Header)),
 				zap.Any("panic", v), zap.ByteString("stack", debug.Stack()))
 			r.metrics.scope.Counter("requests_panicked").Inc(1)
-			// If an answer has begun, this changes nothing but closes the connection.
+			// This has no effect once an answer has begun. The server then closes the
+			// connection, because the declared length has not been written.
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusBadGateway)
 		}
@@ -183,60 +181,11 @@
 	return arrived.Add(timeout)
 }
 
-// headBytes returns the size of the request line and the headers of a request.
-func headBytes(request *http.Request) int {
-	const separators = len(": ") + len("\r\n")
-	n := len(request.Method) + len(request.RequestURI) + len(request.Proto) + separators
-	if request.Host != "" {
-		n += len("Host") + len(request.Host) + separators
-	}
-	for name, values := range request.Header {
-		for _, value := range values {
-			n += len(name) + len(value) + separators
-		}
-	}
-	return n
-}
-
-// defaultMaxBodyBytes applies if the configuration has no limit.
-const defaultMaxBodyBytes = 1 << 20
-
-// readBody reads the body of a request. It ends at the deadline, so that a caller that
-// stops sending doesn't hold its connection and memory for longer.
-func readBody(w http.ResponseWriter, request *http.Request, limit int64, deadline time.Time) ([]byte, error) {
-	if request.Body == nil || request.ContentLength == 0 {
-		return nil, nil
-	}
-	// Setting a deadline fails for a writer without a connection, as in tests.
-	connection := http.NewResponseController(w)
-	_ = connection.SetReadDeadline(deadline)
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
-	if err != nil {
-		// The deadline stays, because the server reads on to the end of the body.
-		return nil, err
-	}
-	_ = connection.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-func (r *Responder) refuseBody(w http.ResponseWriter, request *http.Request, arrived time.Time, err error) {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		r.refuse(w, request, arrived, http.StatusRequestEntityTooLarge, "body too large", 0)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
-		r.refuse(w, request, arrived, http.StatusRequestTimeout, "body too slow", 0)
-	default:
-		r.refuse(w, request, arrived, http.StatusBadRequest, "body ended early", 0)
-	}
-}
-
-// refuse answers a request without sending it to a target.
-func (r *Responder) refuse(w http.ResponseWriter, request *http.Request, arrived time.Time, status int, reason string, retry time.Duration, details ...zap.Field) {
+// refuse answers a request without sending it to a target. details are added to its
+// log line.
+func (r *Responder) refuse(w http.ResponseWriter, request *http.Request, arrived time.Time, status int, reason string, retry time.Duration,
+	details ...zap.Field,
+) {
 	if retry > 0 {
 		decoder.SetRetryAfter(w.Header(), retry)
 	}
