Close the listener also when its accept loop ends in a pause

Cause: the loop returned at the end of the context while the function that closes the listener had not run yet, and then kept it from running. Change: the loop closes the listener itself.

--- a/core/acceptor/acceptor.go
+++ b/core/acceptor/acceptor.go
@@ -75,8 +75,9 @@
 // Each calls handle for each connection of a listener until the context ends, and then
 // closes the listener.
 func Each(ctx context.Context, listener net.Listener, log *zap.Logger, handle func(net.Conn)) {
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
-	defer stop()
+	// The second call closes the listener if the context ends during a pause.
+	defer context.AfterFunc(ctx, func() { listener.Close() })()
+	defer listener.Close()
 	pause := minAcceptPause
 	for {
 		conn, err := listener.Accept()
