Measure the linear time of a check by processor time

A play beside the same load took 10.34 s with 3.07 s of user and 0.64 s of system time, so the process waited for a processor. Change: the bound of 10 s holds for the processor time of the process, which on an idle machine is at least the time that passes in the test's one thread.

--- a/core/validator/validator_test.go
+++ b/core/validator/validator_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,6 +52,17 @@
 	}
 }
 
+// processorTime returns the processor time that this process has used. Unlike the time
+// of day it doesn't grow while other processes keep the processors busy.
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // Guards against a linear scan for the line of each mistake, which takes minutes
 // for a long file that consists of mistakes.
 func TestCheckTakesLinearTime(t *testing.T) {
@@ -60,7 +72,7 @@
 	for i := range names {
 		fmt.Fprintf(&text, "\n\"%d\": 1,", i)
 	}
-	start := time.Now()
+	start := processorTime(t)
 	source, _ := validator.Parse("long", []byte("{"+text.String()+"}"), 1<<21)
 	problems := schema.Check(source)
 	if len(problems) != names {
@@ -69,7 +81,7 @@
 	if message := problems.Error(); len(message) > 10_000 || !strings.HasSuffix(message, "and 99900 more") {
 		t.Errorf("got a message of %d bytes", len(message))
 	}
-	if elapsed := time.Since(start); elapsed > 10*time.Second {
-		t.Errorf("took %s", elapsed)
+	if used := processorTime(t) - start; used > 10*time.Second {
+		t.Errorf("used %s of processor time, want at most 10s", used)
 	}
 }
