--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -208,16 +208,9 @@
 	if i, ok := s.selectorState.Pick(now, p.rng, candidates, unfit); ok {
 		return i, true
 	}
-	switch {
-	case r.Hedge:
-		// A hedge at an unfit target would only add load.
+	if r.Repeat && !r.Unbudgeted {
+		// A repeat at a silent or full target would only add load.
 		return 0, false
-	case r.Repeat && !r.Unbudgeted:
-		// While most replicas reject a part of what arrives, another one of them is
-		// the best chance that is left.
-		return s.selectorState.Pick(now, p.rng, candidates, func(id string) bool {
-			return excluded(id) || p.silent(now, p.target(id)) || p.busy(id)
-		})
 	}
 	return s.selectorState.Pick(now, p.rng, candidates, excluded)
 }
