Keep a panic in a reply's callback from ending the next exchange

Cause: a callback runs when its connection is free again. A panic in it ended the connection and with it the exchange that had just been sent there. Change: the callback's panic is caught by itself; the connection goes on.

--- a/entry/courier/connection.go
+++ b/entry/courier/connection.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// deliver calls back with a reply. The connection may serve another exchange by then,
+// so a panic of the callback must not end it.
+func (c *connection) deliver(e *Exchange, reply Reply) {
+	defer func() {
+		if v := recover(); v != nil {
+			c.pool.count("panicked")
+			fmt.Fprintf(os.Stderr, "callback of request %s panicked: %v\n%s", e.request.RequestID, v, debug.Stack())
+		}
+	}()
+	e.done(reply)
+}
+
+// endAfterPanic ends the connection and the exchange whose answer it was reading.
 func (c *connection) endAfterPanic(v any) {
 	c.pool.count("panicked")
 	err := &Error{Op: "read", Kind: KindPanic, Err: fmt.Errorf("%v at %s", v, debug.Stack())}
@@ -177,7 +190,7 @@
 	}
 	if pending {
 		c.pool.count("lost")
-		e.done(Reply{Result: result, Err: err})
+		c.deliver(e, Reply{Result: result, Err: err})
 	}
 }
 
@@ -205,7 +218,7 @@
 	alive := !c.dropped
 	c.pool.mu.Unlock()
 	if pending {
-		e.done(reply)
+		c.deliver(e, reply)
 	}
 	if next != nil {
 		c.write(next)
