Name equal requests in the log lines of their ends

The lines could not tell a request that came again from others that were on the same targets: the id is new with each attempt.

--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -24,6 +24,8 @@
 	arrived   time.Time
 	deadline  time.Time
 	body      []byte
+	// fingerprint is the same for equal requests.
+	fingerprint uint64
 
 	query       *forwarder.Query
 	requestLine []byte
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,10 +19,13 @@
 // maxListedSubRequests limits the sub-requests in a log line.
 const maxListedSubRequests = 12
 
+// formatFingerprint returns a fingerprint as it appears in logs.
+func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
 // logEnd writes the log line that summarizes a request.
 func (c *call) logEnd(decision forwarder.Decision, status int, took time.Duration) {
 	c.responder.log.Info("request ended",
-		zap.String("request", c.id), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
+		zap.String("request", c.id), zap.String("fingerprint", formatFingerprint(c.fingerprint)), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
 		zap.Stringer("verdict", decision), zap.Int("status", status), zap.Duration("took", took),
 		zap.Duration("aim", c.route.LatencyObjective), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
 		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote),
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -16,6 +16,7 @@
 	"jackdawcart.org/core/forwarder"
 	"jackdawcart.org/core/meter"
 	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
 	"jackdawcart.org/core/timer"
@@ -153,6 +154,7 @@
 	r.run(w, request, &call{
 		responder: r, table: table, route: route, services: services, arrived: arrived,
 		id: decoder.RequestID(request.Header), deadline: deadline, body: body,
+		fingerprint: quarantiner.Fingerprint(request.Host, request.Method+" "+request.RequestURI, string(body)),
 	})
 }
 
