--- /dev/null
+++ b/entry/runner/fleet_test.go
@@ -0,0 +1,267 @@
+package runner_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"jackdawcart.org/platform/standin"
+)
+
+// Size of a fleet.
+const (
+	shardCount         = 4
+	replicasPerService = 3
+	// fleetDomains is lower than the number of VMs, so that some share a domain.
+	fleetDomains = 2
+)
+
+const (
+	// restartDelay is how long a crashed target is down.
+	restartDelay = 500 * time.Millisecond
+	// readyTimeout is the longest wait for a VM to be ready.
+	readyTimeout = 5 * time.Second
+	portsPerVM   = 5
+	firstPort    = 7000
+)
+
+// fleet is several processes of entry VMs with a stand-in store and stand-in targets.
+type fleet struct {
+	binary string
+	store *standin.Store
+	vms   []*vm
+
+	mu         sync.Mutex
+	targets    []*standin.Target
+	poisonPath string
+	crashCount int
+	stopped    bool
+}
+
+type vm struct {
+	callers, ready string
+	settings       string
+	log            string
+	stop           func()
+}
+
+// fleets counts the fleets of this process, as each one needs addresses of its own.
+var fleets int
+
+func newFleet(t *testing.T, vms int) *fleet {
+	t.Helper()
+	fx := &fleet{binary: filepath.Join(t.TempDir(), "jackdawcart-entry"), store: standin.NewStore()}
+	if text, err := exec.Command("go", "build", "-o", fx.binary, "..").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, text)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: fx.store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	t.Cleanup(fx.stopTargets)
+	for _, service := range services() {
+		for k := range replicasPerService {
+			fx.startTarget("127.0.0.1:0", fmt.Sprintf("i-%s-%d", service, k), service, k)
+		}
+	}
+	fx.store.Put("op/config", configuration())
+	fleets++
+	for i := range vms {
+		fx.vms = append(fx.vms, newVM(t, i, listener.Addr().String()))
+		fx.start(t, i)
+	}
+	t.Cleanup(func() {
+		for _, v := range fx.vms {
+			v.stop()
+			if text, err := os.ReadFile(v.log); t.Failed() && err == nil {
+				t.Logf("log of %s:\n%s", v.callers, text)
+			}
+		}
+	})
+	return fx
+}
+
+// newVM writes the settings of a VM. The loopback addresses differ between processes
+// and fleets.
+func newVM(t *testing.T, i int, store string) *vm {
+	t.Helper()
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+(pid>>16+fleets)&0x7f, pid>>8&0xff, 1+pid%0xfd)
+	port := firstPort + portsPerVM*i
+	v := &vm{callers: fmt.Sprintf("%s:%d", host, port), ready: fmt.Sprintf("%s:%d", host, port+1)}
+	settings := fmt.Sprintf(`nodeName=vm-%d
+zone=%s
+bindAddresses.front=%s
+bindAddresses.ready=%s
+internalPortRange=%d,%d
+platform.address=%s
+platform.ttlMinMs=1000
+bounds.drainMs=3000
+bounds.graceS=1
+bounds.configApplyMs=3000
+bounds.stabilityWindowMs=%d
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.budgetExtraRetries=60
+`, i, domain(i), v.callers, v.ready, port+2, port+4, store, stabilityWindow.Milliseconds())
+	dir := t.TempDir()
+	v.settings, v.log = filepath.Join(dir, "platform.conf"), filepath.Join(dir, "log")
+	if err := os.WriteFile(v.settings, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+func domain(i int) string { return string(rune('a' + i%fleetDomains)) }
+
+func services() []string {
+	names := []string{"plain"}
+	for i := range shardCount {
+		names = append(names, "shard-"+strconv.Itoa(i))
+	}
+	return names
+}
+
+func configuration() []byte {
+	var list []map[string]any
+	for _, name := range services() {
+		list = append(list, map[string]any{"name": name, "healthPath": "/health", "maxConnections": 40})
+	}
+	route := func(prefix, routeType string) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": "x.example", "pathPrefix": prefix, "routeType": routeType, "timeoutMs": 2000,
+			"targetLatencyMs": 500, "service": "plain", "maxAttempts": 2,
+		}
+	}
+	gather := route("/all/", "idempotent")
+	delete(gather, "service")
+	gather["gather"], gather["topK"], gather["minShardRatio"] = services()[1:], 3, 0.75
+	data, err := json.Marshal(map[string]any{
+		"version": 1, "services": list, "routes": []any{route("/once/", "non_idempotent"), gather}, "limits": map[string]any{},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// start starts a VM and waits until it is ready.
+func (fx *fleet) start(t *testing.T, i int) {
+	t.Helper()
+	v := fx.vms[i]
+	log, err := os.OpenFile(v.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(fx.binary, "serve", "--platform", v.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	v.stop = sync.OnceFunc(func() {
+		// The process may have ended already.
+		_ = command.Process.Kill()
+		_ = command.Wait()
+		log.Close()
+	})
+	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		response, err := http.Get("http://" + v.ready + "/-/ready")
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Fatalf("VM %d is not ready %v after its start", i, readyTimeout)
+}
+
+// restart kills a VM and starts it again.
+func (fx *fleet) restart(t *testing.T, i int) {
+	t.Helper()
+	fx.vms[i].stop()
+	fx.start(t, i)
+}
+
+func (fx *fleet) startTarget(address, id, service string, replica int) {
+	target, err := standin.NewTargetAt(address, id, service, "record-of-shard.")
+	if err != nil {
+		return
+	}
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+	if fx.stopped {
+		target.Close()
+		return
+	}
+	fx.targets = append(fx.targets, target)
+	target.CrashOn(fx.poisonPath, func() { fx.restartTarget(target, replica) })
+	fx.store.Put("servers/"+id, target.Registration(target.Address(), domain(replica)))
+}
+
+// restartTarget starts a new incarnation at the address of a crashed target.
+func (fx *fleet) restartTarget(crashed *standin.Target, replica int) {
+	fx.mu.Lock()
+	fx.crashCount++
+	n := fx.crashCount
+	fx.mu.Unlock()
+	time.Sleep(restartDelay)
+	fx.store.Remove("servers/" + crashed.ID)
+	fx.startTarget(crashed.Address(), fmt.Sprintf("i-restarted-%d", n), crashed.Service, replica)
+}
+
+// crashOn makes all targets crash when they run a request with the path.
+func (fx *fleet) crashOn(path string) {
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+	fx.poisonPath = path
+	for _, target := range fx.targets {
+		replica := int(target.ID[len(target.ID)-1] - '0')
+		target.CrashOn(path, func() { fx.restartTarget(target, replica) })
+	}
+}
+
+func (fx *fleet) crashes() int {
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+	return fx.crashCount
+}
+
+func (fx *fleet) stopTargets() {
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+	fx.stopped = true
+	for _, target := range fx.targets {
+		target.Close()
+	}
+}
+
+// do sends a request to a VM and returns the status of the answer.
+func (fx *fleet) do(t *testing.T, vm int, method, path, id string) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+fx.vms[vm].callers+path, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "x.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "1500")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
