Refuse requests that crash their targets on all entry VMs

Cause: the quarantine of core/quarantiner was joined to gateways and relays only, and what one entry VM learnt about a request reached no other.

An entry VM now probes a target that breaks off a request. If it is gone, the loss counts against the requests that were in flight there, and goes into the store, from which all VMs read it; VMs of one domain also exchange losses that are not yet there. The store is the right way because each VM may see only one loss, VMs of all domains need it, and a VM that starts must know it.

--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -68,7 +68,7 @@
 		return
 	}
 	q.completions.add(now, fingerprint, q.config.Grace, q.config.MaxCompletions)
-	if q.suspectedOrQuarantined(fingerprint) || q.needsClearance(fingerprint) {
+	if q.Suspected(fingerprint) || q.needsClearance(fingerprint) {
 		q.clear(now, fingerprint)
 		q.queueClearance(fingerprint)
 	}
@@ -85,7 +85,7 @@
 		switch {
 		case e.Fingerprint == 0:
 		case e.Remaining <= 0:
-			if q.suspectedOrQuarantined(e.Fingerprint) {
+			if q.Suspected(e.Fingerprint) {
 				updates = append(updates, Entry{Fingerprint: e.Fingerprint})
 			}
 			q.clear(now, e.Fingerprint)
@@ -171,7 +171,8 @@
 	return s != nil && !s.clearedAt.IsZero() && at.Sub(s.clearedAt) <= q.config.Grace
 }
 
-func (q *Quarantiner) suspectedOrQuarantined(fingerprint uint64) bool {
+// Suspected reports whether losses count against the fingerprint or it is quarantined.
+func (q *Quarantiner) Suspected(fingerprint uint64) bool {
 	if _, ok := q.entries[fingerprint]; ok {
 		return true
 	}
--- a/entry/courier/exchange.go
+++ b/entry/courier/exchange.go
@@ -2,9 +2,12 @@
 package courier
 
 import (
+	"errors"
+	"io"
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"jackdawcart.org/core/placer"
@@ -36,6 +39,16 @@
 	Err error
 }
 
+// Broken reports whether the connection ended while the target may have been running the
+// request, as when the target crashes.
+func (r Reply) Broken() bool {
+	var e *Error
+	if r.Result == placer.Unsent || !errors.As(r.Err, &e) {
+		return false
+	}
+	return e.Kind == KindClosed || errors.Is(e, io.ErrUnexpectedEOF) || errors.Is(e, syscall.ECONNRESET)
+}
+
 // state is the progress of an exchange.
 type state int
 
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -104,6 +104,8 @@
 	Table    func(*router.Table)
 	Target   func(registrar.Event)
 	EntryVMs func(members []registrar.Member)
+	// AllItems is called with everything in the store, ChangedItems with each change.
+	AllItems, ChangedItems func(items []storer.Item)
 }
 
 // New returns a follower that updates state.
@@ -131,6 +133,7 @@
 	}
 	f.memberSet.Replace(f.timers.Now(), members)
 	f.updateMembers()
+	f.listeners.AllItems(listing.Items)
 }
 
 func (f *Follower) applyChanges(listing storer.Listing) {
@@ -147,6 +150,7 @@
 		}
 	}
 	f.updateMembers()
+	f.listeners.ChangedItems(listing.Items)
 }
 
 // Run keeps the configuration and the registrations current until the context ends:
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -241,7 +241,10 @@
 		fx.link = supervisor.NewLink(timers.Now(), 2400*time.Millisecond)
 		fx.store.put(decoder.ConfigurationKey, version(1))
 		f := follower.New(follower.DefaultConfig(3*time.Second, 4*time.Second), fx.store, fx.link, fx.peers, fx.state, timers, zap.NewNop(),
-			follower.Listeners{Table: func(*router.Table) {}, Target: func(registrar.Event) {}, EntryVMs: func([]registrar.Member) {}})
+			follower.Listeners{
+				Table: func(*router.Table) {}, Target: func(registrar.Event) {}, EntryVMs: func([]registrar.Member) {},
+				AllItems: func([]storer.Item) {}, ChangedItems: func([]storer.Item) {},
+			})
 		ctx, stop := context.WithCancel(t.Context())
 		var tasks sync.WaitGroup
 		for _, task := range []func(context.Context){f.Run, f.SweepExpired} {
--- a/entry/informer/client.go
+++ b/entry/informer/client.go
@@ -27,6 +27,7 @@
 	self    registrar.Member
 	dial    Dialer
 	tracker EvidenceTracker
+	reports ReportTracker
 	timers  *timer.Service
 	count   func(outcome string)
 	log     *zap.Logger
@@ -43,11 +44,11 @@
 
 // NewClient returns the client of the VM self. It calls count with the outcome of
 // each request.
-func NewClient(config Config, self registrar.Member, dial Dialer, tracker EvidenceTracker, timers *timer.Service,
+func NewClient(config Config, self registrar.Member, dial Dialer, tracker EvidenceTracker, reports ReportTracker, timers *timer.Service,
 	count func(outcome string), log *zap.Logger,
 ) *Client {
 	return &Client{
-		config: config, self: self, dial: dial, tracker: tracker, timers: timers, count: count, log: log,
+		config: config, self: self, dial: dial, tracker: tracker, reports: reports, timers: timers, count: count, log: log,
 		retryAt: make(map[string]time.Time),
 	}
 }
@@ -134,6 +135,7 @@
 	_ = conn.SetDeadline(time.Now().Add(c.config.Wait + c.config.AnswerMargin))
 	request := &informerpb.Request{
 		After: after, Wait: durationpb.New(c.config.Wait), Evidence: toEvidence(c.tracker.TakeEvidence()),
+		Reports: toReports(c.reports.Unpublished()),
 	}
 	if err := conn.write(request); err != nil {
 		return storer.Listing{}, &Error{Op: "ask", Kind: KindUnanswered, Err: err}
@@ -143,6 +145,7 @@
 		return storer.Listing{}, &Error{Op: "ask", Kind: KindUnanswered, Err: err}
 	}
 	c.tracker.MergeEvidence(c.timers.Now(), fromEvidence(answer.GetEvidence()))
+	c.reports.MergeReports(c.timers.Now(), fromReports(answer.GetReports()))
 	switch answer.GetState() {
 	case informerpb.State_STATE_READING:
 		return storer.Listing{Items: fromItems(answer.GetItems()), Revision: max(answer.GetRevision(), after)}, nil
--- a/entry/informer/frame.go
+++ b/entry/informer/frame.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/entry/informer/informerpb"
 	"jackdawcart.org/platform/storer"
 )
@@ -49,6 +50,22 @@
 	return items
 }
 
+func toReports(reports []quarantiner.Report) []*informerpb.Report {
+	list := make([]*informerpb.Report, len(reports))
+	for i, r := range reports {
+		list[i] = &informerpb.Report{Fingerprint: r.Fingerprint, Target: r.Target}
+	}
+	return list
+}
+
+func fromReports(list []*informerpb.Report) []quarantiner.Report {
+	reports := make([]quarantiner.Report, len(list))
+	for i, r := range list {
+		reports[i] = quarantiner.Report{Fingerprint: r.GetFingerprint(), Target: r.GetTarget()}
+	}
+	return reports
+}
+
 func toEvidence(evidence []placer.Evidence) []*informerpb.Evidence {
 	list := make([]*informerpb.Evidence, len(evidence))
 	for i, e := range evidence {
--- a/entry/informer/informer.go
+++ b/entry/informer/informer.go
@@ -4,13 +4,14 @@
 // Each call to the store is paid for, so one VM of the domain reads from the store
 // and the others poll it. A VM that gets no answer reads from the store itself.
 // Each of the many VMs sends few requests to a target, so they also exchange how
-// their sub-requests ended.
+// their sub-requests ended, and which requests were in flight at lost targets.
 package informer
 
 import (
 	"time"
 
 	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/quarantiner"
 )
 
 // Config holds the timeouts and limits of the exchange between VMs.
@@ -57,6 +58,14 @@
 	}
 }
 
+// ReportTracker holds the reports of this process about requests that crash targets, and
+// merges those of others.
+type ReportTracker interface {
+	// Unpublished returns the reports that are not yet in the store.
+	Unpublished() []quarantiner.Report
+	MergeReports(now time.Time, reports []quarantiner.Report)
+}
+
 // EvidenceTracker returns the evidence of this process and merges that of others.
 type EvidenceTracker interface {
 	TakeEvidence() []placer.Evidence
--- a/entry/informer/informer_test.go
+++ b/entry/informer/informer_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
@@ -54,8 +55,36 @@
 	return append([]placer.Evidence(nil), t.received...)
 }
 
+// reports returns fixed reports, and records those that it receives.
+type reports struct {
+	mu       sync.Mutex
+	own      []quarantiner.Report
+	received []quarantiner.Report
+}
+
+func (r *reports) Unpublished() []quarantiner.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.own
+}
+
+func (r *reports) MergeReports(_ time.Time, received []quarantiner.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(received) > 0 {
+		r.received = received
+	}
+}
+
+func (r *reports) last() []quarantiner.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.received
+}
+
 // vm is the part of an entry VM that exchanges changes and evidence.
 type vm struct {
+	reports *reports
 	member  registrar.Member
 	link    *supervisor.Link
 	tracker *tracker
@@ -75,10 +104,11 @@
 		member:  registrar.Member{Name: name, Domain: "a", Address: netip.MustParseAddrPort(listener.Addr().String())},
 		link:    supervisor.NewLink(timers.Now(), time.Second),
 		tracker: &tracker{},
+		reports: &reports{},
 	}
 	config := informer.DefaultConfig()
-	v.server = informer.NewServer(config, v.link, v.tracker, timers, zap.NewNop())
-	v.client = informer.NewClient(config, v.member, dial, v.tracker, timers, func(string) {}, zap.NewNop())
+	v.server = informer.NewServer(config, v.link, v.tracker, v.reports, timers, zap.NewNop())
+	v.client = informer.NewClient(config, v.member, dial, v.tracker, v.reports, timers, func(string) {}, zap.NewNop())
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
 	var tasks sync.WaitGroup
@@ -297,3 +327,21 @@
 		t.Error("got an answer that misses a change")
 	}
 }
+
+// A VM that cannot write to the store must tell the others of its failure domain which
+// requests crash targets, also while none of them reads from the store.
+func TestReportsAreExchanged(t *testing.T) {
+	vms := newDomain(t, "vm-1", "vm-2")
+	polled, polling := vms[0], vms[1]
+	polled.reports.own = []quarantiner.Report{{Fingerprint: 1, Target: "t1"}, {Fingerprint: 2}}
+	polling.reports.own = []quarantiner.Report{{Fingerprint: 3, Target: "t3"}}
+	if _, ok := polling.client.Watch(t.Context(), 1); ok {
+		t.Fatal("a VM that does not read from the store answered with changes")
+	}
+	if diff := cmp.Diff(polled.reports.own, polling.reports.last()); diff != "" {
+		t.Errorf("reports of the polled VM (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(polling.reports.own, polled.reports.last()); diff != "" {
+		t.Errorf("reports of the polling VM (-want +got):\n%s", diff)
+	}
+}
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -28,6 +28,7 @@
 	config  Config
 	store   Store
 	tracker EvidenceTracker
+	reports ReportTracker
 	timers  *timer.Service
 	log     *zap.Logger
 
@@ -43,9 +44,9 @@
 
 // NewServer returns a server that serves no changes until the first call of
 // PublishSnapshot or PublishChanges.
-func NewServer(config Config, store Store, tracker EvidenceTracker, timers *timer.Service, log *zap.Logger) *Server {
+func NewServer(config Config, store Store, tracker EvidenceTracker, reports ReportTracker, timers *timer.Service, log *zap.Logger) *Server {
 	return &Server{
-		config: config, store: store, tracker: tracker, timers: timers, log: log,
+		config: config, store: store, tracker: tracker, reports: reports, timers: timers, log: log,
 		history: history{max: config.MaxItems}, evidenceLog: evidenceLog{max: config.MaxBatches}, changed: make(chan struct{}),
 	}
 }
@@ -140,7 +141,9 @@
 		s.mu.Lock()
 		s.lastPoll = s.timers.Now()
 		s.mu.Unlock()
+		s.reports.MergeReports(s.timers.Now(), fromReports(request.GetReports()))
 		answer := s.answer(ctx, &request)
+		answer.Reports = toReports(s.reports.Unpublished())
 		s.mu.Lock()
 		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence()))
 		remote, n := s.evidenceLog.since(next, peer)
--- /dev/null
+++ b/entry/inspector/inspector.go
@@ -0,0 +1,230 @@
+// Package inspector recognises requests that crash targets and shares them with the
+// other entry VMs.
+//
+// A loss that this VM observes is published in the platform's store, from which all VMs
+// read it; VMs of the same failure domain also exchange the losses that are not yet in
+// the store. Each VM decides for itself from the losses that it knows.
+package inspector
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/buffer"
+	"jackdawcart.org/core/quarantiner"
+	"jackdawcart.org/core/registrar"
+	"jackdawcart.org/core/timer"
+)
+
+const (
+	advancePeriod = 100 * time.Millisecond
+	// settleTime is the time in which a request that only shared a target with a poison
+	// request is usually answered by another target. After it a loss is published.
+	settleTime = 300 * time.Millisecond
+	// relayDelay is the time after which a loss that another VM of the failure domain
+	// reported is published by this one, because the other one cannot.
+	relayDelay = time.Second
+	// lossQueueSize limits the targets that wait for a probe.
+	lossQueueSize = 256
+)
+
+// Dialer opens connections to targets.
+type Dialer func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
+// Inspector holds the quarantines of an entry VM. It is safe for concurrent use.
+type Inspector struct {
+	dial   Dialer
+	timers *timer.Service
+	scope  tally.Scope
+	log    *zap.Logger
+	losses *buffer.Ring[registrar.Record]
+
+	mu      sync.Mutex
+	state   *quarantiner.Quarantiner
+	broken  quarantiner.BrokenRequests
+	reports *quarantiner.Reports
+}
+
+// New returns an inspector without quarantines.
+func New(dial Dialer, timers *timer.Service, scope tally.Scope, log *zap.Logger) *Inspector {
+	return &Inspector{
+		dial: dial, timers: timers, scope: scope, log: log,
+		losses:  buffer.NewRing[registrar.Record](lossQueueSize),
+		state:   quarantiner.New(quarantiner.DefaultConfig()),
+		reports: quarantiner.NewReports(),
+	}
+}
+
+// Quarantined returns the remaining time of a request's quarantine, or zero if it may be
+// sent to targets.
+func (i *Inspector) Quarantined(fingerprint uint64) time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.Quarantined(i.timers.Now(), fingerprint)
+}
+
+// Completed records that a target has run a request to its end.
+func (i *Inspector) Completed(fingerprint uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.state.Completed(i.timers.Now(), fingerprint)
+}
+
+// Broke records that the connection to a target ended while it may have run a request.
+func (i *Inspector) Broke(target registrar.Record, fingerprint uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now, key := i.timers.Now(), incarnation(target)
+	if i.broken.Add(now, key, fingerprint) && !i.losses.Put(target) {
+		i.broken.Take(now, key)
+	}
+}
+
+// incarnation identifies one start of a target, which can be lost only once. It is a hash
+// because the length of store keys is limited.
+func incarnation(target registrar.Record) string {
+	return format(xxhash.Sum64String(target.ID + "@" + target.Born.UTC().Format(time.RFC3339Nano)))
+}
+
+// Run probes targets and evaluates suspected requests until the context ends.
+func (i *Inspector) Run(ctx context.Context) {
+	ticks := i.timers.Every(advancePeriod)
+	defer ticks.Stop()
+	for {
+		select {
+		case now := <-ticks.C:
+			i.advance(now)
+		case target := <-i.losses.C():
+			go i.confirmLoss(ctx, target)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// confirmLoss probes a target whose connections broke. If the probe fails, the requests
+// that were in flight there are suspected.
+func (i *Inspector) confirmLoss(ctx context.Context, target registrar.Record) {
+	wait := i.timers.After(quarantiner.ProbeDelay)
+	defer wait.Stop()
+	<-wait.C
+	key := incarnation(target)
+	i.mu.Lock()
+	fingerprints := i.broken.Take(i.timers.Now(), key)
+	i.mu.Unlock()
+	if len(fingerprints) == 0 || i.reachable(ctx, target.Address) {
+		return
+	}
+	i.scope.Counter("targets_lost").Inc(1)
+	i.log.Warn("target lost with requests in flight", zap.String("target", target.ID), zap.String("service", target.Service),
+		zap.String("fingerprints", formatAll(fingerprints)))
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.timers.Now()
+	for _, fingerprint := range fingerprints {
+		i.recordLoss(now, quarantiner.Report{Fingerprint: fingerprint, Target: key}, now.Add(settleTime))
+	}
+}
+
+func (i *Inspector) reachable(ctx context.Context, address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, quarantiner.ProbeTimeout)
+	defer cancel()
+	conn, err := i.dial(ctx, address)
+	if err != nil {
+		// A probe that ended because the process stops says nothing.
+		return errors.Is(context.Cause(ctx), context.Canceled)
+	}
+	conn.Close()
+	return true
+}
+
+// onlyLossID is the report ID of every loss: a target's incarnation is lost only once.
+const onlyLossID = 1
+
+// recordLoss counts a loss and schedules its publication. The caller holds mu.
+func (i *Inspector) recordLoss(now time.Time, report quarantiner.Report, due time.Time) {
+	i.state.LostTarget(now, report.Target, onlyLossID, []uint64{report.Fingerprint})
+	i.reports.Add(report, due)
+}
+
+func (i *Inspector) advance(now time.Time) {
+	i.mu.Lock()
+	changed := i.state.Advance(now)
+	for _, e := range changed {
+		if e.Remaining <= 0 {
+			i.reports.Clear(now, e.Fingerprint)
+		}
+	}
+	suspects, quarantined := i.state.Len()
+	i.mu.Unlock()
+	i.logChanges(changed)
+	i.scope.Gauge("suspected_requests").Update(float64(suspects))
+	i.scope.Gauge("quarantined_requests").Update(float64(quarantined))
+}
+
+// logChanges logs the quarantines that began. A clearance is logged where it ends one.
+func (i *Inspector) logChanges(changed []quarantiner.Entry) {
+	for _, e := range changed {
+		if e.Remaining > 0 {
+			i.log.Warn("quarantine began", zap.String("fingerprint", format(e.Fingerprint)), zap.Duration("remaining", e.Remaining),
+				zap.Int("lost-targets", e.LostTargets))
+		}
+	}
+}
+
+// Unpublished returns the reports that are not yet in the store, for the other VMs of
+// the failure domain.
+func (i *Inspector) Unpublished() []quarantiner.Report {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.reports.Due(i.timers.Now(), i.state.Suspected)
+}
+
+// MergeReports records the reports of another VM of the failure domain.
+func (i *Inspector) MergeReports(now time.Time, reports []quarantiner.Report) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, report := range reports {
+		switch {
+		case report.Fingerprint == 0:
+		case report.Clearance():
+			i.recordClearance(now, report.Fingerprint)
+		default:
+			i.recordLoss(now, report, now.Add(relayDelay))
+		}
+	}
+}
+
+// recordClearance ends the suspicion of a request that has run to its end at another VM.
+// The caller holds mu.
+func (i *Inspector) recordClearance(now time.Time, fingerprint uint64) {
+	if i.state.Quarantined(now, fingerprint) > 0 {
+		i.log.Info("quarantine ended by a completed run", zap.String("fingerprint", format(fingerprint)))
+	}
+	i.state.Merge(now, []quarantiner.Entry{{Fingerprint: fingerprint}})
+	i.reports.Clear(now, fingerprint)
+}
+
+func format(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
+// maxLoggedFingerprints limits the fingerprints in a log line.
+const maxLoggedFingerprints = 32
+
+// formatAll lists fingerprints as a log line does.
+func formatAll(fingerprints []uint64) string {
+	texts := make([]string, min(len(fingerprints), maxLoggedFingerprints))
+	for k := range texts {
+		texts[k] = format(fingerprints[k])
+	}
+	return strings.Join(texts, ",")
+}
--- a/entry/responder/bench_test.go
+++ b/entry/responder/bench_test.go
@@ -21,6 +21,7 @@
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/entry/courier"
+	"jackdawcart.org/entry/inspector"
 	"jackdawcart.org/entry/responder"
 )
 
@@ -90,6 +91,7 @@
 	return responder.New(responder.DefaultConfig(), responder.Dependencies{
 		Domain: "a", Directory: dir, Pools: pools, Timers: timer.NewService(), Spans: tracer.Disabled(),
 		Placer:    placer.New(placer.DefaultConfig(), "vm-1", "a", rand.New(rand.NewPCG(1, 2))),
+		Inspector: inspector.New(dial, timer.NewService(), tally.NoopScope, zap.NewNop()),
 		OnVacated: func(string) {},
 	}, tally.NoopScope, zap.NewNop())
 }
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -142,8 +142,15 @@
 	options := courier.Options{MaxOpen: r.Placer.Connections(service.MaxConnections), IdleTimeout: s.Placement.IdleTimeout}
 	pool := r.Pools.Pool(record.ID, record.Address, options)
 	route, latencyObjective, replies := c.route.Name, c.route.LatencyObjective, c.replies
+	fingerprint := c.fingerprint
 	exchange := pool.Send(now, request, func(got courier.Reply) {
 		r.Placer.Ended(r.Timers.Now(), route, latencyObjective, s.Placement, got.Result)
+		switch {
+		case got.Result == placer.Answered:
+			r.Inspector.Completed(fingerprint)
+		case got.Broken():
+			r.Inspector.Broke(record, fingerprint)
+		}
 		replies <- &reply{shard: s.Shard, attempt: s.Attempt, target: record.ID, reply: got}
 	})
 	c.exchanges = append(c.exchanges, exchange)
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -31,6 +31,16 @@
 	Targets(service string) []registrar.Record
 }
 
+// Inspector recognises requests that crash targets.
+type Inspector interface {
+	// Quarantined returns how long a request must not be sent to targets, zero if it may.
+	Quarantined(fingerprint uint64) time.Duration
+	// Completed records that a target has run a request to its end.
+	Completed(fingerprint uint64)
+	// Broke records that the connection to a target ended while it may have run a request.
+	Broke(target registrar.Record, fingerprint uint64)
+}
+
 // Config holds the time and size limits of requests.
 type Config struct {
 	Query forwarder.Config
@@ -66,6 +76,7 @@
 	Pools     *courier.Pools
 	Timers    *timer.Service
 	Spans     *tracer.Tracer
+	Inspector Inspector
 	// OnVacated is called with the ID of a target when another target answers at
 	// its address.
 	OnVacated func(target string)
@@ -146,6 +157,12 @@
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "route without service", noConfigurationRetry)
 		return
 	}
+	fingerprint := quarantiner.Fingerprint(request.Host, request.Method+" "+request.RequestURI, string(body))
+	if remaining := r.Inspector.Quarantined(fingerprint); remaining > 0 {
+		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "quarantined", remaining,
+			zap.String("fingerprint", formatFingerprint(fingerprint)), zap.Duration("remaining", remaining))
+		return
+	}
 	if overload, ok := r.admission.admit(arrived, route); !ok {
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "overload", retryAfterOverload(route.LatencyObjective),
 			overload.fields(route.Priority)...)
@@ -153,8 +170,7 @@
 	}
 	r.run(w, request, &call{
 		responder: r, table: table, route: route, services: services, arrived: arrived,
-		id: decoder.RequestID(request.Header), deadline: deadline, body: body,
-		fingerprint: quarantiner.Fingerprint(request.Host, request.Method+" "+request.RequestURI, string(body)),
+		id: decoder.RequestID(request.Header), deadline: deadline, body: body, fingerprint: fingerprint,
 	})
 }
 
--- a/entry/responder/responder_test.go
+++ b/entry/responder/responder_test.go
@@ -22,6 +22,7 @@
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/entry/courier"
+	"jackdawcart.org/entry/inspector"
 	"jackdawcart.org/entry/responder"
 	"jackdawcart.org/platform/standin"
 )
@@ -87,6 +88,7 @@
 	fx.Responder = responder.New(responder.DefaultConfig(), responder.Dependencies{
 		Domain: "a", Directory: fx.directory, Pools: pools, Timers: timer.NewService(), Spans: tracer.Disabled(),
 		Placer:    placer.New(placer.DefaultConfig(), "vm-1", "a", rand.New(rand.NewPCG(1, 2))),
+		Inspector: inspector.New(dial, timer.NewService(), tally.NoopScope, zap.NewNop()),
 		OnVacated: func(string) {},
 	}, fx.scope, zap.NewNop())
 	return fx
--- a/entry/runner/fleet_test.go
+++ b/entry/runner/fleet_test.go
@@ -36,8 +36,8 @@
 // fleet is several processes of entry VMs with a stand-in store and stand-in targets.
 type fleet struct {
 	binary string
-	store *standin.Store
-	vms   []*vm
+	store  *standin.Store
+	vms    []*vm
 
 	mu         sync.Mutex
 	targets    []*standin.Target
@@ -173,7 +173,7 @@
 		// The process may have ended already.
 		_ = command.Process.Kill()
 		_ = command.Wait()
-		log.Close()
+		_ = log.Close()
 	})
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		response, err := http.Get("http://" + v.ready + "/-/ready")
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -27,6 +27,7 @@
 	"jackdawcart.org/entry/courier"
 	"jackdawcart.org/entry/follower"
 	"jackdawcart.org/entry/informer"
+	"jackdawcart.org/entry/inspector"
 	"jackdawcart.org/entry/responder"
 	"jackdawcart.org/platform/decoder"
 	"jackdawcart.org/platform/storer"
@@ -63,6 +64,7 @@
 	// VMs of the failure domain.
 	peerClient    *informer.Client
 	peerServer    *informer.Server
+	inspector     *inspector.Inspector
 	pools         *courier.Pools
 	responder     *responder.Responder
 	ready         *readiness
@@ -118,12 +120,16 @@
 	config := follower.DefaultConfig(min(e.platform.DrainNotice, e.platform.ConfigurationBound), e.platform.StabilityWindow)
 	config.Domain = e.platform.Domain
 	e.state = follower.NewState(config.GracePeriod)
+	e.inspector = inspector.New(dial, e.timers, e.metrics.Scope, e.log)
 	self := registrar.Member{Name: e.platform.VM, Domain: e.platform.Domain, Address: e.port(e.own.PeerPort)}
 	peerConfig := informer.DefaultConfig()
-	e.peerClient = informer.NewClient(peerConfig, self, dial, e.placer, e.timers, e.countExchange, e.log)
-	e.peerServer = informer.NewServer(peerConfig, e.link, e.placer, e.timers, e.log)
+	e.peerClient = informer.NewClient(peerConfig, self, dial, e.placer, e.inspector, e.timers, e.countExchange, e.log)
+	e.peerServer = informer.NewServer(peerConfig, e.link, e.placer, e.inspector, e.timers, e.log)
 	e.follower = follower.New(config, e.store, e.link, peers{e.peerClient, e.peerServer}, e.state, e.timers, e.log,
-		follower.Listeners{Table: e.preconnect, Target: e.onTarget, EntryVMs: e.onEntryVMs})
+		follower.Listeners{
+			Table: e.preconnect, Target: e.onTarget, EntryVMs: e.onEntryVMs,
+			AllItems: e.inspector.ReplaceItems, ChangedItems: e.inspector.ApplyItems,
+		})
 	e.announcer = announcer.New(announcer.DefaultConfig(e.platform.ShutdownGrace), self, e.peerServer.HasClients, e.store, e.link, e.timers, e.log)
 }
 
@@ -150,7 +156,8 @@
 	config := responder.DefaultConfig()
 	config.Query.CallerTime = e.own.CallerTime
 	e.responder = responder.New(config, responder.Dependencies{
-		Domain: e.platform.Domain, Directory: e.state, Placer: e.placer, Pools: e.pools, Timers: e.timers, Spans: e.spans, OnVacated: e.follower.Vacate,
+		Domain: e.platform.Domain, Directory: e.state, Placer: e.placer, Pools: e.pools, Timers: e.timers, Spans: e.spans,
+		Inspector: e.inspector, OnVacated: e.follower.Vacate,
 	}, e.metrics.Scope, e.log)
 	e.ready = &readiness{state: e.state}
 }
@@ -261,6 +268,7 @@
 	running.Go(func() { e.peerServer.Serve(tasks, listener) })
 	for _, task := range []func(context.Context){
 		e.follower.Run, e.follower.SweepExpired, e.announcer.Run, e.watchFiles, e.peerServer.Exchange,
+		e.inspector.Run, e.publishReports,
 	} {
 		running.Go(func() { task(tasks) })
 	}
@@ -276,6 +284,8 @@
 	return errors.Join(err, e.metrics.Close(), e.spans.Shutdown(context.Background()))
 }
 
+func (e *entry) publishReports(ctx context.Context) { e.inspector.Publish(ctx, e.store, e.link) }
+
 // readiness answers the health checks of the platform's load balancer.
 type readiness struct {
 	state    *follower.State
--- a/jackdawctl/commander/explainlog.go
+++ b/jackdawctl/commander/explainlog.go
@@ -75,11 +75,13 @@
 	}
 	line("state changes on the VM in the 10 seconds before:")
 	for _, l := range explanation.StateChanges {
-		var fields []string
-		for _, f := range l.Fields {
-			fields = append(fields, f.Name+"="+f.Value)
+		line("  %s %s %s", formatTime(l.At), l.Message, formatFields(l))
+	}
+	if len(explanation.EqualRequests) > 0 {
+		line("equal requests, and targets lost under them, on all VMs until then:")
+		for _, l := range explanation.EqualRequests {
+			line("  %s %s %s %s", formatTime(l.At), l.Node, l.Message, formatFields(l))
 		}
-		line("  %s %s %s", formatTime(l.At), l.Message, strings.Join(fields, " "))
 	}
 	line("troubles of other requests at its targets within a second:")
 	for _, t := range explanation.Targets {
@@ -97,3 +99,11 @@
 		line("%d lines could not be read", explanation.Unreadable)
 	}
 }
+
+func formatFields(l investigator.Line) string {
+	fields := make([]string, len(l.Fields))
+	for i, f := range l.Fields {
+		fields[i] = f.Name + "=" + f.Value
+	}
+	return strings.Join(fields, " ")
+}
--- a/jackdawctl/investigator/explanation.go
+++ b/jackdawctl/investigator/explanation.go
@@ -15,6 +15,8 @@
 	// otherRequestsWindow is how far apart two requests may end for their outcomes at a
 	// target to be compared, which shows whether the target was slow for every VM.
 	otherRequestsWindow = time.Second
+	// maxEqualRequests limits the lines about equal requests.
+	maxEqualRequests = 20
 )
 
 // Explanation is what the logs hold about one request.
@@ -24,6 +26,9 @@
 	// StateChanges are the log lines of the same VM, shortly before the end, about the
 	// store, the configuration and the targets in the request's troubles.
 	StateChanges []Line `json:"Beliefs"`
+	// EqualRequests are the latest log lines of all VMs until the end about requests with
+	// the same fingerprint, and about targets that were lost under them.
+	EqualRequests []Line
 	// Targets holds the outcomes of other requests at each target in the request's
 	// troubles, or, for a request that was rejected because of overload, at each target
 	// that refused a part of another request.
@@ -87,6 +92,7 @@
 		return Explanation{}, err
 	}
 	explanation.StateChanges, explanation.Targets = c.stateChanges, c.sortedTargets()
+	explanation.EqualRequests = c.latestEqualRequests()
 	return explanation, nil
 }
 
@@ -114,6 +120,8 @@
 	targets      map[string]*Target
 	vmsByTarget  map[string]map[string]bool
 	stateChanges []Line
+	// equalRequests holds the lines about the request's fingerprint, in any order.
+	equalRequests []Line
 }
 
 func newCollector(request Line) *collector {
@@ -134,6 +142,9 @@
 }
 
 func (c *collector) visit(l Line) {
+	if c.concernsEqualRequest(l) {
+		c.equalRequests = append(c.equalRequests, l)
+	}
 	switch {
 	case l.Message == messageEnded:
 		if l.Value(fieldRequest) != c.request.Value(fieldRequest) && l.At.Sub(c.request.At).Abs() <= otherRequestsWindow {
@@ -145,6 +156,22 @@
 	}
 }
 
+// concernsEqualRequest reports whether a line from before the end is about another request
+// with the same fingerprint.
+func (c *collector) concernsEqualRequest(l Line) bool {
+	fingerprint := c.request.Value(fieldFingerprint)
+	if fingerprint == "" || l.At.After(c.request.At) || l.Value(fieldRequest) == c.request.Value(fieldRequest) {
+		return false
+	}
+	return l.Value(fieldFingerprint) == fingerprint || slices.Contains(strings.Split(l.Value(fieldFingerprints), ","), fingerprint)
+}
+
+// latestEqualRequests returns the lines about equal requests in the order of time.
+func (c *collector) latestEqualRequests() []Line {
+	slices.SortStableFunc(c.equalRequests, func(a, b Line) int { return a.At.Compare(b.At) })
+	return c.equalRequests[max(len(c.equalRequests)-maxEqualRequests, 0):]
+}
+
 // isRelevant reports whether a state change may have affected the request.
 func (c *collector) isRelevant(l Line) bool {
 	if target := l.Value(fieldTarget); target != "" {
--- a/jackdawctl/investigator/explanation_test.go
+++ b/jackdawctl/investigator/explanation_test.go
@@ -93,3 +93,27 @@
 		t.Errorf("unreadable lines (-want +got):\n%s", diff)
 	}
 }
+
+// For a request that is refused as quarantined, the explanation must hold how targets were
+// lost under equal requests on other VMs. Its own line names no target.
+func TestExplainQuarantine(t *testing.T) {
+	const text = `ts=2026-03-03T10:00:10.000Z level=info msg="request ended" process=entry node=vm-1 request=b fingerprint=7f verdict=unserved troubles="s/i-1 first +0s 3ms lost courier: read: closed: EOF"
+ts=2026-03-03T10:00:10.100Z level=warn msg="target lost with requests in flight" process=entry node=vm-1 target=i-1 fingerprints=5a,7f
+ts=2026-03-03T10:00:10.200Z level=info msg="request ended" process=entry node=vm-2 request=c fingerprint=5a verdict=partial
+ts=2026-03-03T10:00:11.000Z level=warn msg="quarantine began" process=entry node=vm-2 fingerprint=7f lost-targets=2
+ts=2026-03-03T10:00:20.000Z level=info msg="request refused" process=entry node=vm-2 request=a reason=quarantined fingerprint=7f
+ts=2026-03-03T10:00:21.000Z level=info msg="request refused" process=entry node=vm-2 request=d reason=quarantined fingerprint=7f
+`
+	explanation, err := investigator.Explain(func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader(text)), nil }, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range explanation.EqualRequests {
+		got = append(got, l.Node+" "+l.Message)
+	}
+	want := []string{"vm-1 request ended", "vm-1 target lost with requests in flight", "vm-2 quarantine began"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("equal requests (-want +got):\n%s", diff)
+	}
+}
--- a/jackdawctl/investigator/line.go
+++ b/jackdawctl/investigator/line.go
@@ -23,6 +23,10 @@
 	// at the end of the request.
 	fieldTroubles = "troubles"
 	fieldReason   = "reason"
+	// fieldFingerprint is the same for equal requests; fieldFingerprints lists those that
+	// were in flight at a lost target.
+	fieldFingerprint  = "fingerprint"
+	fieldFingerprints = "fingerprints"
 
 	messageEnded   = "request ended"
 	messageRefused = "request refused"
--- a/relay/inspector/inspector.go
+++ b/relay/inspector/inspector.go
@@ -21,14 +21,6 @@
 
 const (
 	advancePeriod = 100 * time.Millisecond
-	// probeDelay lets all requests in flight at a lost target fail before it is
-	// probed.
-	probeDelay = 20 * time.Millisecond
-	// probeTimeout limits the probe of a target whose connections broke.
-	probeTimeout = 250 * time.Millisecond
-	// lossWindow is the time within which broken requests are attributed to one
-	// loss.
-	lossWindow = 100 * time.Millisecond
 	// lossQueueSize limits the number of suspected losses waiting for a probe.
 	lossQueueSize = 256
 )
@@ -57,19 +49,18 @@
 	log       *zap.Logger
 	losses    *buffer.Ring[string]
 
-	mu             sync.Mutex
-	state          *quarantiner.Quarantiner
-	brokenRequests map[string]map[uint64]time.Time
-	lossNumber     uint64
+	mu         sync.Mutex
+	state      *quarantiner.Quarantiner
+	broken     quarantiner.BrokenRequests
+	lossNumber uint64
 }
 
 // New returns an inspector. SetDependencies must be called before Run.
 func New(incarnation uint64, timers *timer.Service, publisher Publisher, log *zap.Logger) *Inspector {
 	return &Inspector{
 		timers: timers, publisher: publisher, log: log,
-		losses:         buffer.NewRing[string](lossQueueSize),
-		state:          quarantiner.New(quarantiner.DefaultConfig()),
-		brokenRequests: make(map[string]map[uint64]time.Time),
+		losses: buffer.NewRing[string](lossQueueSize),
+		state:  quarantiner.New(quarantiner.DefaultConfig()),
 		// Loss numbers must differ between relays and between their incarnations.
 		lossNumber: incarnation,
 	}
@@ -130,28 +121,26 @@
 	case result.Outcome == peerpb.Outcome_OUTCOME_RAN:
 		i.state.Completed(now, job.Fingerprint)
 	case result.Failure == peerpb.FailureKind_FAILURE_LOST:
-		if i.brokenRequests[target] == nil {
-			if !i.losses.Put(target) {
-				return
-			}
-			i.brokenRequests[target] = make(map[uint64]time.Time)
+		if i.broken.Add(now, target, job.Fingerprint) && !i.losses.Put(target) {
+			i.broken.Take(now, target)
 		}
-		i.brokenRequests[target][job.Fingerprint] = now
 	}
 }
 
 // confirmLoss probes a target whose connections broke. If the probe fails, it
 // reports the requests that were in flight there.
 func (i *Inspector) confirmLoss(ctx context.Context, target string) {
-	wait := i.timers.After(probeDelay)
+	wait := i.timers.After(quarantiner.ProbeDelay)
 	defer wait.Stop()
 	<-wait.C
-	fingerprints := i.takeBrokenRequests(target)
+	i.mu.Lock()
+	fingerprints := i.broken.Take(i.timers.Now(), target)
+	i.mu.Unlock()
 	addr, err := netip.ParseAddrPort(target)
 	if err != nil || len(fingerprints) == 0 {
 		return
 	}
-	probe, cancel := context.WithTimeout(ctx, probeTimeout)
+	probe, cancel := context.WithTimeout(ctx, quarantiner.ProbeTimeout)
 	defer cancel()
 	if i.prober.Probe(probe, addr) == nil {
 		return
@@ -165,20 +154,6 @@
 	i.network.Broadcast(&peerpb.Frame{Kind: &peerpb.Frame_LostTarget{LostTarget: lost}})
 }
 
-func (i *Inspector) takeBrokenRequests(target string) []uint64 {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	now := i.timers.Now()
-	var fingerprints []uint64
-	for fingerprint, at := range i.brokenRequests[target] {
-		if now.Sub(at) <= lossWindow {
-			fingerprints = append(fingerprints, fingerprint)
-		}
-	}
-	delete(i.brokenRequests, target)
-	return fingerprints
-}
-
 // HandleLost applies another relay's report of a lost target.
 func (i *Inspector) HandleLost(lost *peerpb.LostTarget) {
 	i.mu.Lock()
