Keep to the limits that targets name, over all entry VMs together

A target in need names the requests a second that it takes from all machines together. Targets got more (LIMIT), as nothing read it.

Cause: a bound that holds for all VMs together, told to each of them and enforced by none.

Each VM now keeps to a share of the limit, which all of them compute alike from the list of VMs and the domains of the replicas; a VM beside a target, or in a domain without a replica, has most of it. Neighbours hear of a limit with the evidence. A query that the limits leave no room for is refused before it uses room at other shards, and a shard without room is left out at once. This works without any coordination because the shares depend only on what all VMs read from the store.

--- a/core/forwarder/forwarder_test.go
+++ b/core/forwarder/forwarder_test.go
@@ -24,16 +24,20 @@
 	refuseRetries bool
 	placed        int
 	unreachable   map[string]bool
+	// roomAt is when the limit of a target leaves room; the zero time without a limit.
+	roomAt map[string]time.Time
 }
 
-func (f *fakePlacer) Reachable(target string) bool { return !f.unreachable[target] }
+func (f *fakePlacer) Available(target string, by time.Time) bool {
+	return !f.unreachable[target] && !by.Before(f.roomAt[target])
+}
 
 func (f *fakePlacer) Place(now time.Time, r placer.Request) (placer.Placement, placer.Outcome) {
 	if f.refuseRetries && r.Repeat {
 		return placer.Placement{}, placer.NoTarget
 	}
 	for _, record := range r.Targets {
-		tried := f.unreachable[record.ID]
+		tried := !f.Available(record.ID, now)
 		for _, id := range r.Avoid {
 			tried = tried || id == record.ID
 		}
@@ -42,6 +46,9 @@
 			return placer.Placement{Record: record, Started: now}, placer.Placed
 		}
 	}
+	if len(f.roomAt) > 0 {
+		return placer.Placement{}, placer.Limited
+	}
 	return placer.Placement{}, placer.NoTarget
 }
 
@@ -213,3 +220,53 @@
 	q.Wake(late)
 	check(t, "late", q.Decide(late), forwarder.FailedMaybeRun)
 }
+
+// limitUntil sets when the limits of all targets of a shard leave room.
+func (f *fixture) limitUntil(shard int, roomAt time.Time) {
+	if f.targetPlacer.roomAt == nil {
+		f.targetPlacer.roomAt = make(map[string]time.Time)
+	}
+	for k := range 3 {
+		f.targetPlacer.roomAt[fmt.Sprintf("shard-%d-%d", shard, k)] = roomAt
+	}
+}
+
+// Under limits that leave no room for a query, the parts that the other shards have room
+// for must not be used up.
+func TestQueryBeyondLimitsIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(4)
+	f.limitUntil(0, at(20))
+	f.limitUntil(1, at(20))
+	q := f.query()
+	check(t, "sends", len(q.Start(at(0))), 0)
+	check(t, "decision", q.Decide(at(0)), forwarder.NotRun)
+	check(t, "limited", q.PlacementFailures().Limited, 2)
+}
+
+// A shard without room soon is left out at once, so that the partial answer does not wait
+// for it.
+func TestShardBeyondItsLimitIsLeftOut(t *testing.T) {
+	f := newFixture(4)
+	f.limitUntil(0, at(60))
+	q := f.query()
+	check(t, "sends", len(q.Start(at(0))), 3)
+	for shard := 1; shard < 4; shard++ {
+		q.Answered(shard, 0)
+	}
+	check(t, "decision", q.Decide(at(5)), forwarder.Partial)
+}
+
+// A plain request waits a moment for room, and no longer than leaves its caller time for
+// another attempt.
+func TestPlainRequestWaitsForRoom(t *testing.T) {
+	f := newFixture(1).plainRoute(true)
+	f.limitUntil(0, at(20))
+	q := f.query()
+	check(t, "sends", len(q.Start(at(0))), 0)
+	check(t, "decision", q.Decide(at(0)), forwarder.Waiting)
+	check(t, "sends with room", len(q.Wake(at(20))), 1)
+	f.limitUntil(0, at(60))
+	q = f.query()
+	q.Start(at(0))
+	check(t, "decision without room", q.Decide(at(0)), forwarder.NotRun)
+}
--- a/core/forwarder/query.go
+++ b/core/forwarder/query.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"jackdawcart.org/core/pacer"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
@@ -15,8 +16,8 @@
 type TargetPlacer interface {
 	Place(now time.Time, r placer.Request) (placer.Placement, placer.Outcome)
 	HedgeAt(route string, latencyObjective time.Duration, placed placer.Placement) time.Time
-	// Reachable reports whether new connections to a target succeed.
-	Reachable(target string) bool
+	// Available reports whether a sub-request can be sent to a target by the given time.
+	Available(target string, by time.Time) bool
 }
 
 // Directory lists the targets of a service that accept new requests.
@@ -132,7 +133,8 @@
 // target, it returns none and the request fails, so that no target works on a
 // request that cannot succeed.
 func (q *Query) Start(now time.Time) []Send {
-	if q.placeableShards() < q.minShards() {
+	if q.placeableShards(now) < q.minShards() {
+		q.countLimited(now)
 		for i := range q.shards {
 			q.failShard(&q.shards[i])
 		}
@@ -145,16 +147,48 @@
 	return sends
 }
 
-func (q *Query) placeableShards() int {
+// placeableShards returns the number of shards that have a target. The first sub-requests
+// of a scatter-gather query are sent together, as those of some shards would be useless
+// without the others, so each of its shards needs room at a target at once.
+func (q *Query) placeableShards(now time.Time) int {
+	by := now
+	if !q.route.Gathers() {
+		by = q.latestLimitedSend(now)
+	}
 	n := 0
 	for i := range q.shards {
-		if !q.exhausted(&q.shards[i]) {
+		if !q.exhausted(&q.shards[i], by) {
 			n++
 		}
 	}
 	return n
 }
 
+// countLimited records the shards of a query that was not started because the limits of
+// their targets leave no room.
+func (q *Query) countLimited(now time.Time) {
+	for i := range q.shards {
+		s := &q.shards[i]
+		if q.exhausted(s, now) && !q.exhausted(s, now.Add(pacer.MaxInterval)) {
+			q.placementFailures.Limited++
+		}
+	}
+}
+
+// limitWaitShare is the part of the latency objective for which a request waits until the
+// limit of a target leaves room. Later, it is better for the caller to know.
+const limitWaitShare = 0.25
+
+// latestLimitedSend returns the time until which the request waits for the limit of a
+// target.
+func (q *Query) latestLimitedSend(now time.Time) time.Time {
+	latest := q.arrived.Add(time.Duration(limitWaitShare * float64(q.route.LatencyObjective)))
+	if latest.Before(now) {
+		return now
+	}
+	return latest
+}
+
 // place starts an attempt for a shard that has none in flight. If no target can
 // be selected, it schedules a retry or marks the shard as failed.
 func (q *Query) place(now time.Time, i int, sends []Send, reason string) []Send {
@@ -171,7 +205,7 @@
 	}
 	// Past the cutoff a request no longer waits for a free target or for retry
 	// budget: an immediate failure lets the caller retry at another entry VM.
-	if q.exhausted(s) || !now.Before(q.partialCutoff()) {
+	if q.exhausted(s, q.latestLimitedSend(now)) || !now.Before(q.partialCutoff()) {
 		q.failShard(s)
 		return sends
 	}
@@ -187,12 +221,12 @@
 	}
 }
 
-// exhausted reports whether every known target of the shard was tried or is
-// unreachable, so that waiting cannot help.
-func (q *Query) exhausted(s *shard) bool {
+// exhausted reports whether every known target of the shard was tried or is not available
+// by the given time, so that waiting cannot help.
+func (q *Query) exhausted(s *shard, by time.Time) bool {
 	targets := q.directory.Targets(s.service)
 	for _, t := range targets {
-		if !contains(s.tried, t.ID) && q.targetPlacer.Reachable(t.ID) {
+		if !contains(s.tried, t.ID) && q.targetPlacer.Available(t.ID, by) {
 			return false
 		}
 	}
@@ -233,6 +267,8 @@
 		q.placementFailures.NoTarget++
 	case placer.NoBudget:
 		q.placementFailures.NoBudget++
+	case placer.Limited:
+		q.placementFailures.Limited++
 	case placer.Placed:
 	}
 	return placed, outcome == placer.Placed
@@ -241,7 +277,7 @@
 // PlacementFailures counts the attempts, first ones included, for which no target
 // was selected, by cause.
 type PlacementFailures struct {
-	NoTarget, NoBudget int
+	NoTarget, NoBudget, Limited int
 }
 
 // PlacementFailures returns how often no target could be selected.
--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jackdawcart.org/core/hedger"
+	"jackdawcart.org/core/pacer"
 	"jackdawcart.org/core/selector"
 )
 
@@ -16,6 +17,8 @@
 	Selector selector.Config
 	// Hedger configures the delay before a hedge.
 	Hedger hedger.Config
+	// Pacer configures the pace towards targets that have named a limit.
+	Pacer pacer.Config
 	// SilentFactor is the multiple of a target's mean latency after which the
 	// target, if it has sent no answer, counts as silent.
 	SilentFactor float64
@@ -88,6 +91,7 @@
 	return Config{
 		Selector:         selection,
 		Hedger:           hedging,
+		Pacer:            pacer.DefaultConfig(),
 		SilentFactor:     2.5,
 		MinSilence:       8 * time.Millisecond,
 		HedgeDelayShare:  0.3,
@@ -120,6 +124,8 @@
 	RepeatWindow time.Duration
 	// EntryVMs is the number of entry VMs that share the bounds.
 	EntryVMs int
+	// VMsByDomain is the number of entry VMs in each failure domain; nil if unknown.
+	VMsByDomain map[string]int
 	// Domains is the number of failure domains.
 	Domains int
 }
--- a/core/placer/evidence.go
+++ b/core/placer/evidence.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"jackdawcart.org/core/pacer"
+)
 
 // Evidence summarizes how the recent sub-requests of one VM to a target
 // ended. Each entry VM sends few requests to a target, so the VMs exchange
@@ -14,23 +18,39 @@
 	// Latency is the mean latency of the answers as a multiple of the mean
 	// latency of their routes.
 	Latency float64
+	// LimitObserved is true if the target has answered, and Limit what its last answer
+	// says about its limit.
+	LimitObserved bool
+	Limit         pacer.Limit
 }
 
 // recordEvidence adds the result of a sub-request of this process to the
 // evidence that TakeEvidence returns.
 func (p *Placer) recordEvidence(placed Placement, failed bool, normalized time.Duration) {
+	e := p.pendingEvidence(placed)
+	if failed {
+		e.Failed++
+		return
+	}
+	e.Answered++
+	multiple := float64(normalized) / float64(normalizedLatency)
+	e.Latency += (multiple - e.Latency) / float64(e.Answered)
+}
+
+func (p *Placer) addLimitEvidence(placed Placement, limit pacer.Limit) {
+	e := p.pendingEvidence(placed)
+	e.LimitObserved, e.Limit = true, limit
+}
+
+// pendingEvidence returns the evidence about the target of a sub-request that TakeEvidence
+// will return.
+func (p *Placer) pendingEvidence(placed Placement) *Evidence {
 	t := placed.target
 	if t.pendingEvidence == nil {
 		t.pendingEvidence = &Evidence{Service: placed.Record.Service, Target: placed.Record.ID}
 		p.unreported = append(p.unreported, t)
 	}
-	if failed {
-		t.pendingEvidence.Failed++
-		return
-	}
-	t.pendingEvidence.Answered++
-	multiple := float64(normalized) / float64(normalizedLatency)
-	t.pendingEvidence.Latency += (multiple - t.pendingEvidence.Latency) / float64(t.pendingEvidence.Answered)
+	return t.pendingEvidence
 }
 
 // TakeEvidence returns the evidence that this process has gathered since the
@@ -63,6 +83,9 @@
 		if !known || !used {
 			continue
 		}
+		if e.LimitObserved {
+			t.pace.ObserveRemote(p.config.Pacer, now, e.Limit, p.rng.Float64())
+		}
 		// Spread the failures over the counted results, in the same
 		// proportion as in all results.
 		results := e.Answered + e.Failed
--- /dev/null
+++ b/core/placer/limit.go
@@ -0,0 +1,61 @@
+package placer
+
+import (
+	"time"
+
+	"jackdawcart.org/core/pacer"
+	"jackdawcart.org/core/registrar"
+)
+
+// ObserveLimit records what an answer to a sub-request says about the limit of its target.
+// It returns true if that differs from the answer before.
+func (p *Placer) ObserveLimit(now time.Time, placed Placement, limit pacer.Limit) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := placed.target
+	changed := t.pace.Limit() != limit
+	t.pace.Observe(p.config.Pacer, now, limit, p.rng.Float64())
+	p.addLimitEvidence(placed, limit)
+	return changed
+}
+
+// setShares updates the shares of the limits that targets of a service have named.
+func (p *Placer) setShares(targets []registrar.Record) {
+	hasReplica := func(domain string) bool {
+		for _, record := range targets {
+			if record.Domain == domain {
+				return true
+			}
+		}
+		return false
+	}
+	for _, record := range targets {
+		t := p.target(record.ID)
+		if !t.pace.Limit().Named {
+			continue
+		}
+		if len(p.limits.VMsByDomain) == 0 {
+			t.pace.SetShare(1 / float64(p.limits.EntryVMs))
+			continue
+		}
+		t.pace.SetShare(pacer.Share(p.config.Pacer, p.domain, record.Domain, p.limits.VMsByDomain, hasReplica))
+	}
+}
+
+// limited reports whether the limit of a target leaves no room for a request now. Hedges
+// leave what little room there is to requests that have no other target.
+func (p *Placer) limited(now time.Time, t *target, r Request) bool {
+	if r.Hedge {
+		return !t.pace.Full(now)
+	}
+	return now.Before(t.pace.NextAt(p.config.Pacer))
+}
+
+// Available reports whether a sub-request can be sent to a target by the given time: new
+// connections to it succeed, and its limit leaves room.
+func (p *Placer) Available(id string, by time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.target(id)
+	return !t.unreachable && !by.Before(t.pace.NextAt(p.config.Pacer))
+}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -2,10 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"jackdawcart.org/core/hedger"
+	"jackdawcart.org/core/pacer"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/selector"
 )
@@ -45,6 +47,9 @@
 	NoTarget
 	// NoBudget means that the repeat budget is used up.
 	NoBudget
+	// Limited means that a target is available, but the limit that it has named leaves no
+	// room for the request now.
+	Limited
 )
 
 // Placement is a sub-request that is assigned to a target.
@@ -110,6 +115,7 @@
 	lastResultAt    time.Time
 	// unreachable is true if the last connection attempt failed.
 	unreachable bool
+	pace        pacer.State
 	// pendingEvidence is what TakeEvidence has not returned yet; nil if there
 	// is none.
 	pendingEvidence *Evidence
@@ -163,10 +169,11 @@
 	}
 	s := p.service(now, r.Service)
 	s.budget.advance(now)
+	p.setShares(r.Targets)
 	kept := p.selectKept(r.Targets, r.MaxConnections)
 	i, ok := p.choose(now, s, r, kept)
 	if !ok {
-		return Placement{}, NoTarget
+		return Placement{}, p.missingTarget(now, r)
 	}
 	if !r.Repeat {
 		s.budget.addFirst()
@@ -180,6 +187,7 @@
 		t.lastActivity = now
 	}
 	t.inFlight++
+	t.pace.Take(p.config.Pacer, now)
 	loadFactor := s.selectorState.Started(now, p.candidate(record, kept, i), "")
 	idleTimeout := p.idleTimeout(now, kept, i, r.MaxConnections)
 	return Placement{Record: record, Started: now, IdleTimeout: idleTimeout, loadFactor: loadFactor, target: t}, Placed
@@ -191,15 +199,7 @@
 		candidates[i] = p.candidate(record, kept, i)
 	}
 	excluded := func(id string) bool {
-		if p.target(id).unreachable {
-			return true
-		}
-		for _, avoided := range r.Avoid {
-			if avoided == id {
-				return true
-			}
-		}
-		return false
+		return p.unavailable(id, r) || p.limited(now, p.target(id), r)
 	}
 	failureRateLimit := p.maxFailureRate(now, r.Targets, excluded)
 	unfit := func(id string) bool {
@@ -215,6 +215,21 @@
 	return s.selectorState.Pick(now, p.rng, candidates, excluded)
 }
 
+// unavailable reports whether the request cannot be sent to a target, whatever its limit.
+func (p *Placer) unavailable(id string, r Request) bool {
+	return p.target(id).unreachable || slices.Contains(r.Avoid, id)
+}
+
+// missingTarget returns the reason why no target was chosen.
+func (p *Placer) missingTarget(now time.Time, r Request) Outcome {
+	for _, record := range r.Targets {
+		if !p.unavailable(record.ID, r) && p.limited(now, p.target(record.ID), r) {
+			return Limited
+		}
+	}
+	return NoTarget
+}
+
 func (p *Placer) candidate(record registrar.Record, kept keptTargets, i int) selector.Candidate {
 	c := selector.Candidate{
 		Target: record.ID,
@@ -342,6 +357,7 @@
 	t, ok := p.targets[id]
 	if !ok {
 		t = &target{rendezvousWeight: rendezvousWeight(p.vm, id)}
+		t.pace.SetShare(1 / float64(p.limits.EntryVMs))
 		p.targets[id] = t
 	}
 	return t
--- a/entry/informer/evidence.go
+++ b/entry/informer/evidence.go
@@ -54,5 +54,8 @@
 	}
 	a.Answered += b.Answered
 	a.Failed += b.Failed
+	if b.LimitObserved {
+		a.LimitObserved, a.Limit = true, b.Limit
+	}
 	return a
 }
--- a/entry/informer/frame.go
+++ b/entry/informer/frame.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"jackdawcart.org/core/pacer"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/entry/informer/informerpb"
@@ -71,6 +72,7 @@
 	for i, e := range evidence {
 		list[i] = &informerpb.Evidence{
 			Service: e.Service, Target: e.Target, Answered: uint32(e.Answered), Failed: uint32(e.Failed), Latency: float32(e.Latency),
+			Limit: toLimit(e),
 		}
 	}
 	return list
@@ -82,7 +84,26 @@
 		evidence[i] = placer.Evidence{
 			Service: e.GetService(), Target: e.GetTarget(),
 			Answered: int(e.GetAnswered()), Failed: int(e.GetFailed()), Latency: float64(e.GetLatency()),
+			LimitObserved: e.GetLimit() != nil, Limit: fromLimit(e.GetLimit()),
 		}
 	}
 	return evidence
 }
+
+func toLimit(e placer.Evidence) *informerpb.Limit {
+	switch {
+	case !e.LimitObserved:
+		return nil
+	case !e.Limit.Named:
+		return &informerpb.Limit{}
+	default:
+		return &informerpb.Limit{PerSecond: &e.Limit.PerSecond}
+	}
+}
+
+func fromLimit(l *informerpb.Limit) pacer.Limit {
+	if l == nil || l.PerSecond == nil {
+		return pacer.Limit{}
+	}
+	return pacer.Limit{Named: true, PerSecond: l.GetPerSecond()}
+}
--- a/entry/informer/informer_test.go
+++ b/entry/informer/informer_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/pacer"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/registrar"
@@ -266,9 +267,9 @@
 	for _, v := range vms[1:] {
 		v.client.Watch(t.Context(), 10)
 	}
-	slow := placer.Evidence{Service: "shard", Target: "i-1", Answered: 2, Failed: 1, Latency: 8}
+	slow := placer.Evidence{Service: "shard", Target: "i-1", Answered: 2, Failed: 1, Latency: 8, LimitObserved: true, Limit: pacer.Limit{Named: true, PerSecond: 2.5}}
 	vms[1].tracker.add(slow)
-	own := placer.Evidence{Service: "shard", Target: "i-2", Answered: 1, Latency: 1}
+	own := placer.Evidence{Service: "shard", Target: "i-2", Answered: 1, Latency: 1, LimitObserved: true}
 	vms[0].tracker.add(own)
 	var polls sync.WaitGroup
 	for _, v := range vms[1:] {
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -145,6 +145,7 @@
 	fingerprint := c.fingerprint
 	exchange := pool.Send(now, request, func(got courier.Reply) {
 		r.Placer.Ended(r.Timers.Now(), route, latencyObjective, s.Placement, got.Result)
+		r.observeLimit(s.Placement, got)
 		switch {
 		case got.Result == placer.Answered:
 			r.Inspector.Completed(fingerprint)
@@ -223,7 +224,7 @@
 		return c.writeSuccess(w)
 	case forwarder.NotRun:
 		status = http.StatusServiceUnavailable
-		decoder.SetRetryAfter(w.Header(), forwarder.RetryAfter(c.route.LatencyObjective))
+		decoder.SetRetryAfter(w.Header(), c.retryAfter())
 	case forwarder.FailedMaybeRun:
 		if c.failure != nil && !c.route.Gathers() {
 			return c.writeAnswer(w, *c.failure)
@@ -255,3 +256,12 @@
 	writeBody(w, answer.Status, answer.Body)
 	return answer.Status
 }
+
+// retryAfter returns when the caller of a request that has not run may try again. If the
+// limits of targets left no room, a retry at once would find none either.
+func (c *call) retryAfter() time.Duration {
+	if c.query.PlacementFailures().Limited > 0 {
+		return retryAfterOverload(c.route.LatencyObjective)
+	}
+	return forwarder.RetryAfter(c.route.LatencyObjective)
+}
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -10,6 +10,7 @@
 
 	"jackdawcart.org/core/forwarder"
 	"jackdawcart.org/core/placer"
+	"jackdawcart.org/entry/courier"
 )
 
 // slowShare is the part of a route's latency objective from which the answer of a
@@ -22,6 +23,19 @@
 // formatFingerprint returns a fingerprint as it appears in logs.
 func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
+// observeLimit passes on what the answer of a target says about its limit, and logs a
+// change.
+func (r *Responder) observeLimit(placed placer.Placement, got courier.Reply) {
+	if got.Status == 0 || got.Answer.WrongTarget || got.Answer.LimitMalformed {
+		return
+	}
+	if !r.Placer.ObserveLimit(r.Timers.Now(), placed, got.Answer.Limit) {
+		return
+	}
+	r.log.Info("target limit", zap.String("target", placed.Record.ID), zap.String("service", placed.Record.Service),
+		zap.Bool("named", got.Answer.Limit.Named), zap.Float64("per-second", got.Answer.Limit.PerSecond))
+}
+
 // logEnd writes the log line that summarizes a request.
 func (c *call) logEnd(decision forwarder.Decision, status int, took time.Duration) {
 	c.responder.log.Info("request ended",
@@ -30,6 +44,7 @@
 		zap.Duration("aim", c.route.LatencyObjective), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
 		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote),
 		zap.Int("no-target", c.query.PlacementFailures().NoTarget), zap.Int("no-budget", c.query.PlacementFailures().NoBudget),
+		zap.Int("limited", c.query.PlacementFailures().Limited),
 		zap.Bool("caller-left", c.callerLeft), zap.String("troubles", c.troubles(c.arrived.Add(took))))
 }
 
--- a/entry/runner/limit_test.go
+++ b/entry/runner/limit_test.go
@@ -52,11 +52,15 @@
 		time.Sleep(perVM)
 	}
 	running.Wait()
+	most := 0
 	for _, target := range fleet.running() {
-		if n := mostWithin(target.Arrivals(), began.Add(stabilityWindow), window); float64(n) > allowed {
+		n := mostWithin(target.Arrivals(), began.Add(stabilityWindow), window)
+		most = max(most, n)
+		if float64(n) > allowed {
 			t.Errorf("%s got %d requests in %v, want at most %.0f", target.ID, n, window, allowed)
 		}
 	}
+	t.Logf("%d queries served, at most %d requests in %v at one target", served, most, window)
 	capacity := limit * replicasPerService * (duration - stabilityWindow).Seconds()
 	if float64(served) < capacity/2 {
 		t.Errorf("%d queries served, want half of the %.0f that the limits allow", served, capacity)
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -170,6 +170,10 @@
 	e.boundsMu.Lock()
 	defer e.boundsMu.Unlock()
 	e.bounds.EntryVMs = len(members)
+	e.bounds.VMsByDomain = make(map[string]int)
+	for _, m := range members {
+		e.bounds.VMsByDomain[m.Domain]++
+	}
 	e.placer.SetLimits(e.bounds)
 }
 
--- a/jackdawctl/investigator/explanation.go
+++ b/jackdawctl/investigator/explanation.go
@@ -91,7 +91,7 @@
 	if _, err := scanLogs(openLogs, c.visit); err != nil {
 		return Explanation{}, err
 	}
-	explanation.StateChanges, explanation.Targets = c.stateChanges, c.sortedTargets()
+	explanation.StateChanges, explanation.Targets = c.sortedStateChanges(), c.sortedTargets()
 	explanation.EqualRequests = c.latestEqualRequests()
 	return explanation, nil
 }
@@ -120,6 +120,9 @@
 	targets      map[string]*Target
 	vmsByTarget  map[string]map[string]bool
 	stateChanges []Line
+	// limits holds the last line about the limit of each target, if limits left no room
+	// for the request.
+	limits map[string]Line
 	// equalRequests holds the lines about the request's fingerprint, in any order.
 	equalRequests []Line
 }
@@ -127,7 +130,7 @@
 func newCollector(request Line) *collector {
 	c := &collector{
 		request: request, overload: request.Message == messageRefused && request.Value(fieldReason) == reasonOverload,
-		targets: make(map[string]*Target), vmsByTarget: make(map[string]map[string]bool),
+		limits: make(map[string]Line), targets: make(map[string]*Target), vmsByTarget: make(map[string]map[string]bool),
 	}
 	for id := range outcomesByTarget(request) {
 		c.addTarget(id)
@@ -150,12 +153,33 @@
 		if l.Value(fieldRequest) != c.request.Value(fieldRequest) && l.At.Sub(c.request.At).Abs() <= otherRequestsWindow {
 			c.countOutcomes(l)
 		}
+	case c.isLimit(l):
+		c.limits[l.Value(fieldTarget)] = l
 	case l.Node != c.request.Node || l.At.After(c.request.At) || c.request.At.Sub(l.At) > stateChangeWindow:
 	case c.isRelevant(l):
 		c.stateChanges = append(c.stateChanges, l)
 	}
 }
 
+// isLimit reports whether a line is about the limit of a target on the request's VM, and
+// limits left no room for the request. Any target may have been the one without room.
+func (c *collector) isLimit(l Line) bool {
+	limited := c.request.Value(fieldLimited)
+	return l.Message == messageLimit && l.Node == c.request.Node && !l.At.After(c.request.At) && limited != "" && limited != "0"
+}
+
+// sortedStateChanges returns the state changes and the limits in force in the order of
+// time.
+func (c *collector) sortedStateChanges() []Line {
+	for _, l := range c.limits {
+		if l.Value(fieldNamed) == "true" {
+			c.stateChanges = append(c.stateChanges, l)
+		}
+	}
+	slices.SortStableFunc(c.stateChanges, func(a, b Line) int { return a.At.Compare(b.At) })
+	return c.stateChanges
+}
+
 // concernsEqualRequest reports whether a line from before the end is about another request
 // with the same fingerprint.
 func (c *collector) concernsEqualRequest(l Line) bool {
--- a/jackdawctl/investigator/explanation_test.go
+++ b/jackdawctl/investigator/explanation_test.go
@@ -117,3 +117,25 @@
 		t.Errorf("equal requests (-want +got):\n%s", diff)
 	}
 }
+
+// For a request that found no room, the explanation must hold the limits that were in
+// force on its VM, however long before they were named.
+func TestExplainLimits(t *testing.T) {
+	const text = `ts=2026-03-03T10:00:00.000Z level=info msg="target limit" process=entry node=vm-1 target=i-1 named=true per-second=3
+ts=2026-03-03T10:00:01.000Z level=info msg="target limit" process=entry node=vm-1 target=i-2 named=true per-second=4
+ts=2026-03-03T10:00:02.000Z level=info msg="target limit" process=entry node=vm-2 target=i-3 named=true per-second=5
+ts=2026-03-03T10:00:19.000Z level=info msg="target limit" process=entry node=vm-1 target=i-2 named=false per-second=0
+ts=2026-03-03T10:00:20.000Z level=info msg="request ended" process=entry node=vm-1 request=a verdict=not-run limited=2 troubles=
+`
+	explanation, err := investigator.Explain(func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader(text)), nil }, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range explanation.StateChanges {
+		got = append(got, l.Message+" "+l.Value("target"))
+	}
+	if diff := cmp.Diff([]string{"target limit i-1"}, got); diff != "" {
+		t.Errorf("state changes (-want +got):\n%s", diff)
+	}
+}
--- a/jackdawctl/investigator/line.go
+++ b/jackdawctl/investigator/line.go
@@ -23,6 +23,10 @@
 	// at the end of the request.
 	fieldTroubles = "troubles"
 	fieldReason   = "reason"
+	// fieldLimited counts the sub-requests for which the limits of targets left no room.
+	fieldLimited = "limited"
+	// fieldNamed tells whether a target names a limit.
+	fieldNamed = "named"
 	// fieldFingerprint is the same for equal requests; fieldFingerprints lists those that
 	// were in flight at a lost target.
 	fieldFingerprint  = "fingerprint"
@@ -30,6 +34,7 @@
 
 	messageEnded   = "request ended"
 	messageRefused = "request refused"
+	messageLimit   = "target limit"
 
 	reasonOverload = "overload"
 	// outcomeRefused is the outcome of a sub-request that its target did not run.
