--- a/entry/courier/answer.go
+++ b/entry/courier/answer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 
 	"jackdawcart.org/core/placer"
@@ -60,30 +61,41 @@
 
 // bodyMemory limits the memory for long bodies of answers across all targets. A
 // body may hold as much as is still free, so targets that send without end always
-// leave room for the answers of others.
+// leave room for the answers of others. Chunks are reused, because those that are
+// dropped take up memory until the next garbage collection.
 type bodyMemory struct {
-	mu   sync.Mutex
-	free int
+	mu    sync.Mutex
+	free  int
+	spare [][]byte
 }
 
 func newBodyMemory() *bodyMemory { return &bodyMemory{free: maxLongBodyBytes} }
 
-// reserveChunk reserves a chunk for a body that holds the given number of bytes,
-// and reports whether there is room for it.
-func (m *bodyMemory) reserveChunk(held int) bool {
+// takeChunk returns a chunk for a body that holds a number of other chunks, and false
+// if there is no room for it.
+func (m *bodyMemory) takeChunk(held int) ([]byte, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if held+chunkBytes > m.free-chunkBytes {
-		return false
+	if held*chunkBytes+chunkBytes > m.free-chunkBytes {
+		return nil, false
 	}
 	m.free -= chunkBytes
-	return true
+	if last := len(m.spare) - 1; last >= 0 {
+		chunk := m.spare[last]
+		m.spare = m.spare[:last]
+		return chunk, true
+	}
+	return make([]byte, chunkBytes), true
 }
 
-func (m *bodyMemory) release(held int) {
+// release takes back the chunks of a body.
+func (m *bodyMemory) release(chunks [][]byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.free += held
+	m.free += len(chunks) * chunkBytes
+	for _, chunk := range chunks {
+		m.spare = append(m.spare, chunk[:chunkBytes])
+	}
 }
 
 // readBody reads a body of at most limit bytes. It doesn't close the body, because
@@ -111,15 +123,14 @@
 // readLongBody reads the rest of a body in chunks, which are joined only when it is
 // complete.
 func readLongBody(first []byte, body io.Reader, limit int64, memory *bodyMemory) ([]byte, error) {
-	chunks := net.Buffers{first}
-	size, held := int64(len(first)), 0
-	defer func() { memory.release(held) }()
+	var chunks [][]byte
+	size := int64(len(first))
+	defer func() { memory.release(chunks) }()
 	for {
-		if !memory.reserveChunk(held) {
+		chunk, ok := memory.takeChunk(len(chunks))
+		if !ok {
 			return nil, errAnswerMemory
 		}
-		held += chunkBytes
-		chunk := make([]byte, chunkBytes)
 		n, err := fill(body, chunk)
 		chunks = append(chunks, chunk[:n])
 		size += int64(n)
@@ -127,7 +138,7 @@
 		case size > limit:
 			return nil, fmt.Errorf("body is longer than %d bytes", limit)
 		case errors.Is(err, io.EOF):
-			return joinChunks(chunks, size), nil
+			return slices.Concat(append([][]byte{first}, chunks...)...), nil
 		case err != nil:
 			return nil, err
 		}
@@ -148,14 +159,6 @@
 	return n, nil
 }
 
-func joinChunks(chunks [][]byte, size int64) []byte {
-	text := make([]byte, 0, size)
-	for _, chunk := range chunks {
-		text = append(text, chunk...)
-	}
-	return text
-}
-
 func errorReply(err error) Reply {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return Reply{Result: placer.Lost, Err: &Error{Op: "read", Kind: KindTimeout, Err: err}}
