--- a/core/placer/evidence.go
+++ b/core/placer/evidence.go
@@ -18,8 +18,8 @@
 	// Latency is the mean latency of the answers as a multiple of the mean
 	// latency of their routes.
 	Latency float64
-	// LimitObserved is true if the target has answered, and Limit what its last answer
-	// says about its limit.
+	// LimitObserved is true if an answer of the target has named a limit, or ended one.
+	// Limit is what the last one says.
 	LimitObserved bool
 	Limit         pacer.Limit
 }
@@ -85,6 +85,7 @@
 		}
 		if e.LimitObserved {
 			t.pace.ObserveRemote(p.config.Pacer, now, e.Limit, p.rng.Float64())
+			p.setLimited(e.Target, t.pace.Limit())
 		}
 		// Spread the failures over the counted results, in the same
 		// proportion as in all results.
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -14,13 +14,28 @@
 	defer p.mu.Unlock()
 	t := placed.target
 	changed := t.pace.Limit() != limit
+	if !changed && !limit.Named {
+		return false
+	}
 	t.pace.Observe(p.config.Pacer, now, limit, p.rng.Float64())
+	p.setLimited(placed.Record.ID, limit)
 	p.addLimitEvidence(placed, limit)
 	return changed
 }
 
+func (p *Placer) setLimited(id string, limit pacer.Limit) {
+	if limit.Named {
+		p.limited.Add(id)
+		return
+	}
+	p.limited.Remove(id)
+}
+
 // setShares updates the shares of the limits that targets of a service have named.
 func (p *Placer) setShares(targets []registrar.Record) {
+	if len(p.limited) == 0 {
+		return
+	}
 	hasReplica := func(domain string) bool {
 		for _, record := range targets {
 			if record.Domain == domain {
@@ -30,10 +45,10 @@
 		return false
 	}
 	for _, record := range targets {
-		t := p.target(record.ID)
-		if !t.pace.Limit().Named {
+		if !p.limited.Has(record.ID) {
 			continue
 		}
+		t := p.target(record.ID)
 		if len(p.limits.VMsByDomain) == 0 {
 			t.pace.SetShare(1 / float64(p.limits.EntryVMs))
 			continue
@@ -42,9 +57,9 @@
 	}
 }
 
-// limited reports whether the limit of a target leaves no room for a request now. Hedges
+// withoutRoom reports whether the limit of a target leaves no room for a request now. Hedges
 // leave what little room there is to requests that have no other target.
-func (p *Placer) limited(now time.Time, t *target, r Request) bool {
+func (p *Placer) withoutRoom(now time.Time, t *target, r Request) bool {
 	if r.Hedge {
 		return !t.pace.Full(now)
 	}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/hedger"
 	"jackdawcart.org/core/pacer"
 	"jackdawcart.org/core/registrar"
@@ -77,6 +78,8 @@
 	services map[string]*service
 	targets  map[string]*target
 	routes   map[string]*route
+	// limited holds the IDs of the targets that have named a limit.
+	limited container.Set[string]
 	// firstPlacedAt is the time of the first sub-request.
 	firstPlacedAt time.Time
 	// unreported lists the targets with evidence that TakeEvidence has not
@@ -135,6 +138,7 @@
 		services: make(map[string]*service),
 		targets:  make(map[string]*target),
 		routes:   make(map[string]*route),
+		limited:  container.NewSet[string](),
 	}
 }
 
@@ -199,7 +203,7 @@
 		candidates[i] = p.candidate(record, kept, i)
 	}
 	excluded := func(id string) bool {
-		return p.unavailable(id, r) || p.limited(now, p.target(id), r)
+		return p.unavailable(id, r) || p.withoutRoom(now, p.target(id), r)
 	}
 	failureRateLimit := p.maxFailureRate(now, r.Targets, excluded)
 	unfit := func(id string) bool {
@@ -223,7 +227,7 @@
 // missingTarget returns the reason why no target was chosen.
 func (p *Placer) missingTarget(now time.Time, r Request) Outcome {
 	for _, record := range r.Targets {
-		if !p.unavailable(record.ID, r) && p.limited(now, p.target(record.ID), r) {
+		if !p.unavailable(record.ID, r) && p.withoutRoom(now, p.target(record.ID), r) {
 			return Limited
 		}
 	}
@@ -382,6 +386,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.targets, id)
+	p.limited.Remove(id)
 	if s, ok := p.services[service]; ok {
 		s.selectorState.Retain(func(target string) bool { return target != id })
 		delete(s.fullUntil, id)
--- a/core/quarantiner/reports.go
+++ b/core/quarantiner/reports.go
@@ -92,6 +92,9 @@
 	return reports
 }
 
+// Waiting returns the number of reports that are not yet published.
+func (r *Reports) Waiting() int { return len(r.unpublished) }
+
 // Due returns the reports to be published now, a limited number at once. It drops the
 // losses of requests that are no longer suspected, and those beyond the number that a
 // quarantine needs.
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -27,7 +27,11 @@
 )
 
 const (
-	advancePeriod = 100 * time.Millisecond
+	// activePeriod is the interval between evaluations within activeTime of the last
+	// event, and idlePeriod the one after it. Each wake-up costs processor time.
+	activePeriod = 100 * time.Millisecond
+	idlePeriod   = 5 * time.Second
+	activeTime   = 3 * time.Second
 	// settleTime is the time in which a request that only shared a target with a poison
 	// request is usually answered by another target. After it a loss is published.
 	settleTime = 300 * time.Millisecond
@@ -48,11 +52,16 @@
 	scope  tally.Scope
 	log    *zap.Logger
 	losses *buffer.Ring[registrar.Record]
+	// active is signalled when something has to be evaluated soon, due when there are
+	// reports to publish.
+	active, due chan struct{}
 
 	mu      sync.Mutex
 	state   *quarantiner.Quarantiner
 	broken  quarantiner.BrokenRequests
 	reports *quarantiner.Reports
+	// activeUntil is the end of the frequent evaluations.
+	activeUntil time.Time
 }
 
 // New returns an inspector without quarantines.
@@ -60,6 +69,8 @@
 	return &Inspector{
 		dial: dial, timers: timers, scope: scope, log: log,
 		losses:  buffer.NewRing[registrar.Record](lossQueueSize),
+		active:  make(chan struct{}, 1),
+		due:     make(chan struct{}, 1),
 		state:   quarantiner.New(quarantiner.DefaultConfig()),
 		reports: quarantiner.NewReports(),
 	}
@@ -77,7 +88,25 @@
 func (i *Inspector) Completed(fingerprint uint64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.state.Completed(i.timers.Now(), fingerprint)
+	now := i.timers.Now()
+	if i.state.Suspected(fingerprint) {
+		i.setActive(now)
+	}
+	i.state.Completed(now, fingerprint)
+}
+
+// setActive makes Run evaluate the state frequently for a while. The caller holds mu.
+func (i *Inspector) setActive(now time.Time) {
+	i.activeUntil = now.Add(activeTime)
+	signal(i.active)
+}
+
+// signal wakes the receiver of a channel with room for one signal.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
 // Broke records that the connection to a target ended while it may have run a request.
@@ -98,12 +127,14 @@
 
 // Run probes targets and evaluates suspected requests until the context ends.
 func (i *Inspector) Run(ctx context.Context) {
-	ticks := i.timers.Every(advancePeriod)
-	defer ticks.Stop()
+	tick := i.timers.After(idlePeriod)
+	defer tick.Stop()
 	for {
 		select {
-		case now := <-ticks.C:
-			i.advance(now)
+		case now := <-tick.C:
+			tick.Reset(i.advance(now))
+		case <-i.active:
+			tick.Reset(activePeriod)
 		case target := <-i.losses.C():
 			go i.confirmLoss(ctx, target)
 		case <-ctx.Done():
@@ -153,11 +184,13 @@
 
 // recordLoss counts a loss and schedules its publication. The caller holds mu.
 func (i *Inspector) recordLoss(now time.Time, report quarantiner.Report, due time.Time) {
+	i.setActive(now)
 	i.state.LostTarget(now, report.Target, onlyLossID, []uint64{report.Fingerprint})
 	i.reports.Add(report, due)
 }
 
-func (i *Inspector) advance(now time.Time) {
+// advance evaluates the state and returns the time until the next evaluation.
+func (i *Inspector) advance(now time.Time) time.Duration {
 	i.mu.Lock()
 	changed := i.state.Advance(now)
 	for _, e := range changed {
@@ -166,10 +199,18 @@
 		}
 	}
 	suspects, quarantined := i.state.Len()
+	if len(i.reports.Due(now, i.state.Suspected)) > 0 {
+		signal(i.due)
+	}
+	next := idlePeriod
+	if now.Before(i.activeUntil) || i.reports.Waiting() > 0 {
+		next = activePeriod
+	}
 	i.mu.Unlock()
 	i.logChanges(changed)
 	i.scope.Gauge("suspected_requests").Update(float64(suspects))
 	i.scope.Gauge("quarantined_requests").Update(float64(quarantined))
+	return next
 }
 
 // logChanges logs the quarantines that began. A clearance is logged where it ends one.
@@ -211,6 +252,7 @@
 	if i.state.Quarantined(now, fingerprint) > 0 {
 		i.log.Info("quarantine ended by a completed run", zap.String("fingerprint", format(fingerprint)))
 	}
+	i.setActive(now)
 	i.state.Merge(now, []quarantiner.Entry{{Fingerprint: fingerprint}})
 	i.reports.Clear(now, fingerprint)
 }
--- a/entry/inspector/publisher.go
+++ b/entry/inspector/publisher.go
@@ -23,7 +23,6 @@
 )
 
 const (
-	publishPeriod = 100 * time.Millisecond
 	// publishRetryDelay is the pause after a failed write.
 	publishRetryDelay = 500 * time.Millisecond
 	// republishSpread is the time over which the VMs write a report again that the
@@ -48,24 +47,28 @@
 // Publish writes the reports of this VM to the store until the context ends. The keys
 // last as long as a quarantine. While the store is unreachable, the reports wait.
 func (i *Inspector) Publish(ctx context.Context, store Store, link Link) {
-	pause := i.timers.After(publishPeriod)
-	defer pause.Stop()
 	for {
 		select {
-		case <-pause.C:
+		case <-i.due:
 		case <-ctx.Done():
 			return
 		}
 		if up, _ := link.State(); !up {
-			pause.Reset(publishPeriod)
 			continue
 		}
 		if err := i.publishDue(ctx, store); err != nil {
 			i.log.Warn("cannot publish lost targets", zap.Error(err))
-			pause.Reset(publishRetryDelay)
-			continue
+			i.pause(ctx, publishRetryDelay)
 		}
-		pause.Reset(publishPeriod)
+	}
+}
+
+func (i *Inspector) pause(ctx context.Context, d time.Duration) {
+	wait := i.timers.After(d)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -178,6 +181,7 @@
 		i.recordClearance(now, report.Fingerprint)
 		return
 	}
+	i.setActive(now)
 	i.state.LostTarget(now.Add(-age), report.Target, onlyLossID, []uint64{report.Fingerprint})
 }
 
@@ -190,6 +194,7 @@
 	}
 	minRemaining := time.Duration(minRepublishShare * float64(quarantiner.DefaultConfig().Period))
 	if i.state.Quarantined(now, report.Fingerprint) > minRemaining {
+		i.setActive(now)
 		i.reports.Add(report, now.Add(rand.N(republishSpread)))
 	}
 }
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"jackdawcart.org/core/forwarder"
@@ -41,6 +42,9 @@
 	// remote counts the sub-requests to other failure domains.
 	remote     int
 	callerLeft bool
+	// completed is set once a target has run the request to its end, broken once the
+	// connection to one ended before. Sub-requests set them also after the call.
+	completed, broken atomic.Bool
 	// subRequests holds every sub-request for the log line at the end.
 	subRequests []subRequest
 }
@@ -142,15 +146,16 @@
 	options := courier.Options{MaxOpen: r.Placer.Connections(service.MaxConnections), IdleTimeout: s.Placement.IdleTimeout}
 	pool := r.Pools.Pool(record.ID, record.Address, options)
 	route, latencyObjective, replies := c.route.Name, c.route.LatencyObjective, c.replies
-	fingerprint := c.fingerprint
+	fingerprint, completed, broken := c.fingerprint, &c.completed, &c.broken
 	exchange := pool.Send(now, request, func(got courier.Reply) {
 		r.Placer.Ended(r.Timers.Now(), route, latencyObjective, s.Placement, got.Result)
 		r.observeLimit(s.Placement, got)
 		switch {
-		case got.Result == placer.Answered:
-			r.Inspector.Completed(fingerprint)
-		case got.Broken():
+		case got.Result != placer.Answered && got.Broken():
+			broken.Store(true)
 			r.Inspector.Broke(record, fingerprint)
+		case got.Result == placer.Answered && completed.CompareAndSwap(false, true):
+			r.Inspector.Completed(fingerprint)
 		}
 		replies <- &reply{shard: s.Shard, attempt: s.Attempt, target: record.ID, reply: got}
 	})
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -23,6 +23,23 @@
 // formatFingerprint returns a fingerprint as it appears in logs.
 func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
+// fingerprintField returns the field that tells equal requests. It matters only if
+// targets may be lost under the request.
+func (c *call) fingerprintField() zap.Field {
+	if !c.broken.Load() {
+		return zap.Skip()
+	}
+	return zap.String("fingerprint", formatFingerprint(c.fingerprint))
+}
+
+// nonZero returns a field that is left out if its value is zero.
+func nonZero(name string, value int) zap.Field {
+	if value == 0 {
+		return zap.Skip()
+	}
+	return zap.Int(name, value)
+}
+
 // observeLimit passes on what the answer of a target says about its limit, and logs a
 // change.
 func (r *Responder) observeLimit(placed placer.Placement, got courier.Reply) {
@@ -39,12 +56,12 @@
 // logEnd writes the log line that summarizes a request.
 func (c *call) logEnd(decision forwarder.Decision, status int, took time.Duration) {
 	c.responder.log.Info("request ended",
-		zap.String("request", c.id), zap.String("fingerprint", formatFingerprint(c.fingerprint)), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
+		zap.String("request", c.id), c.fingerprintField(), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
 		zap.Stringer("verdict", decision), zap.Int("status", status), zap.Duration("took", took),
 		zap.Duration("aim", c.route.LatencyObjective), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
 		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote),
 		zap.Int("no-target", c.query.PlacementFailures().NoTarget), zap.Int("no-budget", c.query.PlacementFailures().NoBudget),
-		zap.Int("limited", c.query.PlacementFailures().Limited),
+		nonZero("limited", c.query.PlacementFailures().Limited),
 		zap.Bool("caller-left", c.callerLeft), zap.String("troubles", c.troubles(c.arrived.Add(took))))
 }
 
