--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
@@ -287,8 +288,14 @@
 	}
 	afterOutage := f.link.AfterLongOutage(now, f.config.GracePeriod)
 	var events []registrar.Event
+	first := f.state.TargetCount() == 0
 	f.state.updateRegistry(func(r *registrar.Registry) { events = r.Replace(now, entries, listing.Revision, afterOutage) })
-	f.notify(events)
+	if first {
+		f.log.Info("registrations read", zap.Int("targets", len(events)), zap.Uint64("revision", listing.Revision))
+		f.notify(zapcore.DebugLevel, events)
+		return
+	}
+	f.notify(zapcore.InfoLevel, events)
 }
 
 func (f *Follower) applyTargetChanges(listing storer.Listing) {
@@ -311,7 +318,7 @@
 		// The new value is not a valid registration, so the target is gone.
 		f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, item.Revision, false)) })
 	}
-	f.notify(events)
+	f.notify(zapcore.InfoLevel, events)
 }
 
 func (f *Follower) entry(item storer.Item) (registrar.Entry, bool) {
@@ -327,12 +334,18 @@
 	return registrar.Entry{Revision: item.Revision, Target: target}, true
 }
 
-func (f *Follower) notify(events []registrar.Event) {
+// notify logs changes of targets and passes them on. An update changes neither where a
+// target is nor whether it gets requests; each target writes one about every second.
+func (f *Follower) notify(level zapcore.Level, events []registrar.Event) {
 	for _, e := range events {
 		if e.Change == registrar.Unchanged {
 			continue
 		}
-		f.log.Info("target "+e.Change.String(), zap.String("target", e.Record.ID), zap.String("service", e.Record.Service),
+		eventLevel := level
+		if e.Change == registrar.Updated {
+			eventLevel = zapcore.DebugLevel
+		}
+		f.log.Log(eventLevel, "target "+e.Change.String(), zap.String("target", e.Record.ID), zap.String("service", e.Record.Service),
 			zap.Stringer("address", e.Record.Address), zap.String("domain", e.Record.Domain), zap.Uint64("revision", e.Record.Revision))
 		f.listeners.Target(e)
 	}
@@ -342,7 +355,7 @@
 func (f *Follower) Vacate(id string) {
 	var event registrar.Event
 	f.state.updateRegistry(func(r *registrar.Registry) { event = r.Vacate(id) })
-	f.notify([]registrar.Event{event})
+	f.notify(zapcore.InfoLevel, []registrar.Event{event})
 }
 
 // sweepPeriod is the interval between checks for expired targets.
@@ -361,7 +374,7 @@
 			}
 			var events []registrar.Event
 			f.state.updateRegistry(func(r *registrar.Registry) { events = r.RemoveExpired(now) })
-			f.notify(events)
+			f.notify(zapcore.InfoLevel, events)
 		case <-ctx.Done():
 			return
 		}
