--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -91,6 +92,7 @@
 type route struct {
 	hedgerState *hedger.State
 	meanLatency time.Duration
+	usedAt      time.Time
 }
 
 type service struct {
@@ -99,6 +101,7 @@
 	// fullUntil holds, for each target that refused a request, the time until
 	// which it is avoided.
 	fullUntil map[string]time.Time
+	usedAt    time.Time
 }
 
 // target holds the requests in flight and the health of one target.
@@ -270,6 +273,7 @@
 	t.inFlight--
 	latency := now.Sub(placed.Started)
 	r := p.route(route, latencyObjective)
+	r.usedAt = now
 	switch result {
 	case Answered:
 		t.lastActivity = now
@@ -354,6 +358,7 @@
 		}
 		p.services[name] = s
 	}
+	s.usedAt = now
 	return s
 }
 
@@ -380,6 +385,23 @@
 	return r
 }
 
+// Sweep drops the state of services and routes that a configuration does not name. What
+// was used within the last repeat window stays, because repeats still count.
+func (p *Placer) Sweep(now time.Time, hasService, hasRoute func(name string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := func(usedAt time.Time) bool { return now.Sub(usedAt) > p.limits.RepeatWindow }
+	maps.DeleteFunc(p.services, func(name string, s *service) bool { return !hasService(name) && idle(s.usedAt) })
+	maps.DeleteFunc(p.routes, func(name string, r *route) bool { return !hasRoute(name) && idle(r.usedAt) })
+}
+
+// Len returns the number of services, routes and targets whose state is kept.
+func (p *Placer) Len() (services, routes, targets int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.services), len(p.routes), len(p.targets)
+}
+
 // Forget drops the state of a target that has left. A successor with the same
 // ID shares that state and loses it too.
 func (p *Placer) Forget(service, id string) {
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -392,3 +393,31 @@
 		t.Fatalf("%d of %d requests went to the healthy replica, want 6 of 10", l.sent["i-2"], total)
 	}
 }
+
+// An index that is cut into new shards again and again, with new targets and routes each
+// time, must not take up more and more memory.
+func TestStateOfGoneServicesIsReleased(t *testing.T) {
+	const shards, reshards = 10, 100
+	l := newLoad(3)
+	l.placer.SetLimits(placer.Limits{EntryVMs: 9, RepeatWindow: 10 * time.Second})
+	most := 0
+	for n := range reshards {
+		now := start.Add(time.Duration(n) * 20 * time.Second)
+		name := func(shard int) string { return fmt.Sprintf("shard-%d-%d", n, shard) }
+		l.placer.Sweep(now, func(s string) bool { return strings.HasPrefix(s, fmt.Sprintf("shard-%d-", n)) }, func(string) bool { return false })
+		for shard := range shards {
+			target := registrar.Record{Target: registrar.Target{ID: "i-" + name(shard), Service: name(shard), Slots: 2}}
+			placed, outcome := l.placer.Place(now, placer.Request{Service: name(shard), Targets: []registrar.Record{target}, MaxConnections: 100})
+			if outcome != placer.Placed {
+				t.Fatalf("outcome %v", outcome)
+			}
+			l.placer.Ended(now, fmt.Sprintf("route-%d", n), latencyObjective, placed, placer.Answered)
+			l.placer.Forget(name(shard), target.ID)
+		}
+		services, routes, targets := l.placer.Len()
+		most = max(most, services+routes+targets)
+	}
+	if most > 3*shards {
+		t.Errorf("state of %d services, routes and targets is kept, want at most %d", most, 3*shards)
+	}
+}
--- a/core/router/table.go
+++ b/core/router/table.go
@@ -118,6 +118,18 @@
 // RoutesTo reports whether any route uses the service.
 func (t *Table) RoutesTo(service string) bool { return t.routedServices[service] }
 
+// HasRoute reports whether the configuration has a route with the name.
+func (t *Table) HasRoute(name string) bool {
+	for _, routes := range t.routes {
+		for _, route := range routes {
+			if route.Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // RoutedServices returns the names of the services that routes use, sorted.
 func (t *Table) RoutedServices() []string { return slices.Sorted(maps.Keys(t.routedServices)) }
 
--- a/entry/courier/courier_test.go
+++ b/entry/courier/courier_test.go
@@ -377,3 +377,22 @@
 	<-called
 	check(t, "next answer", send(t, p, newRequest("b", 2*time.Second)).Result, placer.Answered)
 }
+
+// A target that has left must not be reported any more: the report made a record of it
+// that nothing removed, and that a successor with the same ID inherited.
+func TestRetiredTargetIsNotReported(t *testing.T) {
+	reports := make(chan bool, 100)
+	pools := courier.New(dial, func(string) {}, func(_ string, up bool) { reports <- up })
+	t.Cleanup(pools.Close)
+	tgt := newTarget(t, func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) })
+	tgt.listener.Close()
+	p := pools.Pool("i-1", tgt.address, courier.Options{MaxOpen: 1, IdleTimeout: time.Second})
+	send(t, p, newRequest("a", time.Second))
+	check(t, "before it left", <-reports, false)
+	pools.Retire("i-1")
+	select {
+	case up := <-reports:
+		t.Fatalf("reported reachable=%v after it left", up)
+	case <-time.After(time.Second):
+	}
+}
--- a/entry/courier/pool.go
+++ b/entry/courier/pool.go
@@ -183,7 +183,7 @@
 // ends the pause between dials.
 func (p *Pool) confirm(c *connection) {
 	p.mu.Lock()
-	alive := !c.dropped
+	alive := !c.dropped && !p.closed
 	if alive {
 		p.consecutiveFailures, p.nextDialAt = 0, time.Time{}
 	}
@@ -207,7 +207,7 @@
 	if p.options.IdleTimeout > 0 && !isTimeout(err) {
 		// The next request tests at no cost whether the target accepts connections
 		// again.
-		probe = func() { p.setReachable(true) }
+		probe = p.reportReachable
 	}
 	p.mu.Unlock()
 	if unreachable {
@@ -219,6 +219,16 @@
 	}
 }
 
+// reportReachable reports the target as reachable, unless it has left meanwhile.
+func (p *Pool) reportReachable() {
+	p.mu.Lock()
+	closed := p.closed
+	p.mu.Unlock()
+	if !closed {
+		p.setReachable(true)
+	}
+}
+
 // isTimeout reports whether a connection failed because the target did not
 // respond.
 func isTimeout(err error) bool {
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -217,6 +217,7 @@
 // preconnect opens connections to the targets of a new configuration before the
 // first request needs them.
 func (e *entry) preconnect(table *router.Table) {
+	e.sweepState(table)
 	for _, service := range table.RoutedServices() {
 		for _, record := range e.state.Targets(service) {
 			e.preconnectTarget(table, record)
@@ -224,6 +225,19 @@
 	}
 }
 
+// sweepState drops what is known of services and routes that are gone.
+func (e *entry) sweepState(table *router.Table) {
+	hasService := func(name string) bool {
+		_, ok := table.Service(name)
+		return ok
+	}
+	e.placer.Sweep(e.timers.Now(), hasService, table.HasRoute)
+	services, routes, targets := e.placer.Len()
+	for name, n := range map[string]int{"tracked_services": services, "tracked_routes": routes, "tracked_targets": targets} {
+		e.metrics.Scope.Gauge(name).Update(float64(n))
+	}
+}
+
 // preconnectTarget keeps a connection open to a target if a route leads to its
 // service and this VM prefers it. The other targets rarely get a request from this VM.
 func (e *entry) preconnectTarget(table *router.Table, record registrar.Record) {
