Answer what has been accepted before a planned stop

A caller on a new connection got no answer when an entry VM was stopped under load: net/http's Shutdown drops a request that it reads after it has begun.

The gateway did this already, with a fixed wait.

--- a/entry/runner/fleet_test.go
+++ b/entry/runner/fleet_test.go
@@ -50,6 +50,7 @@
 	callers, ready string
 	settings       string
 	log            string
+	process        *os.Process
 	stop           func()
 }
 
@@ -169,6 +170,7 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
+	v.process = command.Process
 	v.stop = sync.OnceFunc(func() {
 		// The process may have ended already.
 		_ = command.Process.Kill()
--- a/entry/runner/serve.go
+++ b/entry/runner/serve.go
@@ -34,33 +34,56 @@
 		}
 		return router.Limits{}
 	})
-	callers := &http.Server{Handler: e.responder, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log), ConnState: limits.OnState}
+	var busy busyConnections
+	onState := func(c net.Conn, state http.ConnState) {
+		limits.OnState(c, state)
+		busy.onState(c, state)
+	}
+	callers := &http.Server{Handler: e.responder, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log), ConnState: onState}
 	ready := http.NewServeMux()
 	ready.Handle(decoder.ReadyPath, e.ready)
 	balancer := &http.Server{Handler: ready, ReadHeaderTimeout: time.Second}
 	metrics := &http.Server{Handler: e.metrics.Handler, ReadHeaderTimeout: time.Second}
 	failed := make(chan error, 3)
-	for _, s := range []struct {
-		server  *http.Server
-		address netip.AddrPort
-		wrap    func(net.Listener) net.Listener
-	}{
-		{callers, e.platform.CallerAddress, limits.Wrap},
-		{balancer, e.platform.ReadinessAddress, noWrap},
-		{metrics, e.port(e.own.MetricsPort), noWrap},
-	} {
-		listener, err := net.Listen("tcp", s.address.String())
-		if err != nil {
-			return err
-		}
-		go func() { failed <- s.server.Serve(s.wrap(listener)) }()
+	running, err := startServer(callers, e.platform.CallerAddress, limits.Wrap, failed)
+	if err != nil {
+		return err
+	}
+	if _, err := startServer(balancer, e.platform.ReadinessAddress, noWrap, failed); err != nil {
+		return err
+	}
+	if _, err := startServer(metrics, e.port(e.own.MetricsPort), noWrap, failed); err != nil {
+		return err
 	}
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
 	}
-	return e.shutdown(callers, balancer, metrics)
+	return e.shutdown(running, &busy, balancer, metrics)
+}
+
+// runningServer is an HTTP server with its listener.
+type runningServer struct {
+	*http.Server
+	listener net.Listener
+	// ended is closed when the server accepts no more connections.
+	ended chan struct{}
+}
+
+// startServer serves at an address. It passes the error with which that ends to failed,
+// which must have room for it.
+func startServer(server *http.Server, address netip.AddrPort, wrap func(net.Listener) net.Listener, failed chan<- error) (*runningServer, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	s := &runningServer{server, listener, make(chan struct{})}
+	go func() {
+		defer close(s.ended)
+		failed <- server.Serve(wrap(listener))
+	}()
+	return s, nil
 }
 
 func noWrap(l net.Listener) net.Listener { return l }
@@ -71,7 +94,7 @@
 
 // shutdown fails the health checks so that the load balancer sends no new callers,
 // then stops accepting connections, and then waits for running requests.
-func (e *entry) shutdown(callers, balancer, metrics *http.Server) error {
+func (e *entry) shutdown(callers *runningServer, busy *busyConnections, balancer, metrics *http.Server) error {
 	began := e.timers.Now()
 	e.log.Info("stopping", zap.Duration("grace", e.platform.ShutdownGrace))
 	e.ready.stop()
@@ -80,10 +103,23 @@
 	time.Sleep(time.Duration(acceptShare * grace))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*grace)))
 	defer cancel()
-	err := callers.Shutdown(ctx)
+	// The server drops a request that it reads after the start of Shutdown without an
+	// answer, so the connections that have been accepted are served first.
+	err := callers.listener.Close()
+	<-callers.ended
+	busy.awaitIdle(ctx)
+	err = errors.Join(err, ignoreClosed(callers.Shutdown(ctx)))
 	if errors.Is(err, context.DeadlineExceeded) {
 		e.log.Warn("requests still running when the time to finish them ended", zap.Error(err))
 		err = nil
 	}
 	return errors.Join(err, balancer.Close(), metrics.Close())
 }
+
+// ignoreClosed returns nil for the error of closing a listener again.
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
