Evaluate losses also while new ones keep coming

Each new loss restarted the timer of the evaluation, so losses that came more often than every 100 ms put it off: TestFrequentLossesDontDelayOthers failed with the former loop, as the losses under another request were not published for four seconds.

The placer also kept the ID of a target that had named a limit and left while it answered.

--- a/core/placer/evidence.go
+++ b/core/placer/evidence.go
@@ -85,7 +85,7 @@
 		}
 		if e.LimitObserved {
 			t.pace.ObserveRemote(p.config.Pacer, now, e.Limit, p.rng.Float64())
-			p.setLimited(e.Target, t.pace.Limit())
+			p.setLimited(e.Target, t)
 		}
 		// Spread the failures over the counted results, in the same
 		// proportion as in all results.
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -18,13 +18,14 @@
 		return false
 	}
 	t.pace.Observe(p.config.Pacer, now, limit, p.rng.Float64())
-	p.setLimited(placed.Record.ID, limit)
+	p.setLimited(placed.Record.ID, t)
 	p.addLimitEvidence(placed, limit)
 	return changed
 }
 
-func (p *Placer) setLimited(id string, limit pacer.Limit) {
-	if limit.Named {
+// setLimited records whether a target names a limit, unless the target has left.
+func (p *Placer) setLimited(id string, t *target) {
+	if t.pace.Limit().Named && p.targets[id] == t {
 		p.limited.Add(id)
 		return
 	}
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -129,12 +129,19 @@
 func (i *Inspector) Run(ctx context.Context) {
 	tick := i.timers.After(idlePeriod)
 	defer tick.Stop()
+	period := idlePeriod
 	for {
 		select {
 		case now := <-tick.C:
-			tick.Reset(i.advance(now))
+			period = i.advance(now)
+			tick.Reset(period)
 		case <-i.active:
-			tick.Reset(activePeriod)
+			// A running active period is not prolonged, or frequent events would put off
+			// the evaluation for ever.
+			if period == idlePeriod {
+				period = activePeriod
+				tick.Reset(period)
+			}
 		case target := <-i.losses.C():
 			go i.confirmLoss(ctx, target)
 		case <-ctx.Done():
--- a/entry/inspector/inspector_test.go
+++ b/entry/inspector/inspector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
@@ -238,3 +239,21 @@
 		t.Errorf("unexpected reports %v", reports)
 	}
 }
+
+// Targets that are lost all the time under one request must not put off the evaluation:
+// the losses under another one would never be published.
+func TestFrequentLossesDontDelayOthers(t *testing.T) {
+	run(t, 2, refuse, func(s *store, vms []*inspector.Inspector) {
+		const other = 9
+		for _, id := range []string{"t1", "t2"} {
+			vms[0].Broke(target(id), poison)
+		}
+		for k := range 200 {
+			vms[0].Broke(target(fmt.Sprint("p", k)), other)
+			time.Sleep(20 * time.Millisecond)
+		}
+		if vms[1].Quarantined(poison) == 0 {
+			t.Error("the other VM sends the request")
+		}
+	})
+}
