Describe the test deployments of entry VMs in one place

The soak and the tests of entry/runner each wrote the settings of a VM, the configuration and the registrations of targets. platform/standin holds them now, so the store's keys and the platform's names leave the tests of entry.

--- a/entry/runner/fleet_test.go
+++ b/entry/runner/fleet_test.go
@@ -1,14 +1,12 @@
 package runner_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -29,8 +27,6 @@
 	restartDelay = 500 * time.Millisecond
 	// readyTimeout is the longest wait for a VM to be ready.
 	readyTimeout = 5 * time.Second
-	portsPerVM   = 5
-	firstPort    = 7000
 )
 
 // fleet is several processes of entry VMs with a stand-in store and stand-in targets.
@@ -71,12 +67,12 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	t.Cleanup(fx.stopTargets)
-	for _, service := range services() {
+	for _, service := range standin.Services(shardCount) {
 		for k := range replicasPerService {
 			fx.startTarget("127.0.0.1:0", fmt.Sprintf("i-%s-%d", service, k), service, k)
 		}
 	}
-	fx.store.Put("op/config", configuration())
+	fx.store.Configure(standin.Configuration{Version: 1, Shards: shardCount, LatencyObjective: 500 * time.Millisecond, MinShardShare: 0.75})
 	fleets++
 	for i := range vms {
 		fx.vms = append(fx.vms, newVM(t, i, listener.Addr().String()))
@@ -93,32 +89,17 @@
 	return fx
 }
 
-// newVM writes the settings of a VM. The loopback addresses differ between processes
-// and fleets.
+// newVM writes the settings of a VM.
 func newVM(t *testing.T, i int, store string) *vm {
 	t.Helper()
-	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d", 1+(pid>>16+fleets)&0x7f, pid>>8&0xff, 1+pid%0xfd)
-	port := firstPort + portsPerVM*i
-	v := &vm{callers: fmt.Sprintf("%s:%d", host, port), ready: fmt.Sprintf("%s:%d", host, port+1)}
-	settings := fmt.Sprintf(`nodeName=vm-%d
-zone=%s
-bindAddresses.front=%s
-bindAddresses.ready=%s
-internalPortRange=%d,%d
-platform.address=%s
-platform.ttlMinMs=1000
-bounds.drainMs=3000
-bounds.graceS=1
-bounds.configApplyMs=3000
-bounds.stabilityWindowMs=%d
-bounds.retryBudgetRatio=0.2
-bounds.budgetWindowS=10
-bounds.budgetExtraRetries=60
-`, i, domain(i), v.callers, v.ready, port+2, port+4, store, stabilityWindow.Milliseconds())
+	described := standin.NewVM(fleets, i)
+	described.Domain, described.Store, described.ShutdownGrace = domain(i), store, time.Second
 	dir := t.TempDir()
-	v.settings, v.log = filepath.Join(dir, "platform.conf"), filepath.Join(dir, "log")
-	if err := os.WriteFile(v.settings, []byte(settings), 0o600); err != nil {
+	v := &vm{
+		callers: described.CallerAddress(), ready: described.ReadinessAddress(),
+		settings: filepath.Join(dir, "platform.conf"), log: filepath.Join(dir, "log"),
+	}
+	if err := os.WriteFile(v.settings, described.Settings(), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	return v
@@ -126,37 +107,6 @@
 
 func domain(i int) string { return string(rune('a' + i%fleetDomains)) }
 
-func services() []string {
-	names := []string{"plain"}
-	for i := range shardCount {
-		names = append(names, "shard-"+strconv.Itoa(i))
-	}
-	return names
-}
-
-func configuration() []byte {
-	var list []map[string]any
-	for _, name := range services() {
-		list = append(list, map[string]any{"name": name, "healthPath": "/health", "maxConnections": 40})
-	}
-	route := func(prefix, routeType string) map[string]any {
-		return map[string]any{
-			"name": prefix, "host": "x.example", "pathPrefix": prefix, "routeType": routeType, "timeoutMs": 2000,
-			"targetLatencyMs": 500, "service": "plain", "maxAttempts": 2,
-		}
-	}
-	gather := route("/all/", "idempotent")
-	delete(gather, "service")
-	gather["gather"], gather["topK"], gather["minShardRatio"] = services()[1:], 3, 0.75
-	data, err := json.Marshal(map[string]any{
-		"version": 1, "services": list, "routes": []any{route("/once/", "non_idempotent"), gather}, "limits": map[string]any{},
-	})
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
-
 // start starts a VM and waits until it is ready.
 func (fx *fleet) start(t *testing.T, i int) {
 	t.Helper()
@@ -210,7 +160,7 @@
 	}
 	fx.targets = append(fx.targets, target)
 	target.CrashOn(fx.poisonPath, func() { fx.restartTarget(target, replica) })
-	fx.store.Put("servers/"+id, target.Registration(target.Address(), domain(replica)))
+	fx.store.Register(target, target.Address(), domain(replica))
 }
 
 // restartTarget starts a new incarnation at the address of a crashed target.
@@ -220,7 +170,7 @@
 	n := fx.crashCount
 	fx.mu.Unlock()
 	time.Sleep(restartDelay)
-	fx.store.Remove("servers/" + crashed.ID)
+	fx.store.Unregister(crashed.ID)
 	fx.startTarget(crashed.Address(), fmt.Sprintf("i-restarted-%d", n), crashed.Service, replica)
 }
 
--- a/entry/runner/poison_test.go
+++ b/entry/runner/poison_test.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"jackdawcart.org/platform/standin"
 )
 
 // stabilityWindow is the time after a third crash from which a poison request must
-// reach no target; see fleet.settings.
-const stabilityWindow = 4 * time.Second
+// reach no target.
+const stabilityWindow = standin.StabilityWindow
 
 // maxLateRuns is how many runs of a poison request are allowed after that time.
 const maxLateRuns = 3
