--- a/core/forwarder/query.go
+++ b/core/forwarder/query.go
@@ -4,6 +4,7 @@
 package forwarder
 
 import (
+	"slices"
 	"time"
 
 	"jackdawcart.org/core/pacer"
@@ -226,22 +227,13 @@
 func (q *Query) exhausted(s *shard, by time.Time) bool {
 	targets := q.directory.Targets(s.service)
 	for _, t := range targets {
-		if !contains(s.tried, t.ID) && q.targetPlacer.Available(t.ID, by) {
+		if !slices.Contains(s.tried, t.ID) && q.targetPlacer.Available(t.ID, by) {
 			return false
 		}
 	}
 	return true
 }
 
-func contains(list []string, id string) bool {
-	for _, v := range list {
-		if v == id {
-			return true
-		}
-	}
-	return false
-}
-
 // mayAttempt reports whether the shard may be sent to one more target. A request
 // that is not idempotent is retried only while no target may have run it.
 func (q *Query) mayAttempt(s *shard) bool {
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"jackdawcart.org/core/pacer"
@@ -38,12 +39,7 @@
 		return
 	}
 	hasReplica := func(domain string) bool {
-		for _, record := range targets {
-			if record.Domain == domain {
-				return true
-			}
-		}
-		return false
+		return slices.ContainsFunc(targets, func(r registrar.Record) bool { return r.Domain == domain })
 	}
 	for _, record := range targets {
 		if !p.limited.Has(record.ID) {
--- a/core/quarantiner/fingerprint.go
+++ b/core/quarantiner/fingerprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,9 @@
 	return max(h.Sum64(), 1)
 }
 
+// FormatFingerprint returns a fingerprint as it appears in logs and views.
+func FormatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
 // Normalise returns the body in lower case, with each run of white space
 // replaced by one space and white space at both ends removed.
 func Normalise(body string) string {
--- a/core/router/table.go
+++ b/core/router/table.go
@@ -66,6 +66,7 @@
 	services       map[string]Service
 	routes         map[string][]*Route
 	routedServices map[string]bool
+	routeNames     map[string]bool
 }
 
 // NewTable returns the table of the given routes and services.
@@ -76,6 +77,7 @@
 		services:       make(map[string]Service, len(services)),
 		routes:         make(map[string][]*Route),
 		routedServices: make(map[string]bool),
+		routeNames:     make(map[string]bool, len(routes)),
 	}
 	for _, service := range services {
 		t.services[service.Name] = service
@@ -83,6 +85,7 @@
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		t.routes[host] = append(t.routes[host], &route)
+		t.routeNames[route.Name] = true
 		for _, shard := range route.Shards {
 			t.routedServices[shard] = true
 		}
@@ -119,16 +122,7 @@
 func (t *Table) RoutesTo(service string) bool { return t.routedServices[service] }
 
 // HasRoute reports whether the configuration has a route with the name.
-func (t *Table) HasRoute(name string) bool {
-	for _, routes := range t.routes {
-		for _, route := range routes {
-			if route.Name == name {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (t *Table) HasRoute(name string) bool { return t.routeNames[name] }
 
 // RoutedServices returns the names of the services that routes use, sorted.
 func (t *Table) RoutedServices() []string { return slices.Sorted(maps.Keys(t.routedServices)) }
--- a/core/timer/timer.go
+++ b/core/timer/timer.go
@@ -2,6 +2,7 @@
 package timer
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -44,6 +45,18 @@
 	return s.add(&Subscription{service: s, once: once, C: once.C})
 }
 
+// Sleep waits for the delay and returns true, or false if the context ends first.
+func (s *Service) Sleep(ctx context.Context, delay time.Duration) bool {
+	wait := s.After(delay)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Close stops every subscription. Later subscriptions receive no ticks.
 func (s *Service) Close() {
 	s.mu.Lock()
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -184,7 +184,7 @@
 			continue
 		}
 		if up, _ := f.link.State(); !up {
-			f.pause(ctx, f.config.RetryDelay)
+			f.timers.Sleep(ctx, f.config.RetryDelay)
 			continue
 		}
 		listing, result := f.watchStore(ctx, revision)
@@ -196,7 +196,7 @@
 			revision = listing.Revision
 			f.applyChanges(listing)
 			if len(listing.Items) > 0 {
-				f.pause(ctx, f.batchDelay())
+				f.timers.Sleep(ctx, f.batchDelay())
 			}
 		case storer.IsKind(result.err, storer.KindHistoryLost):
 			f.log.Warn("history lost, reading in full", zap.String("prefix", allKeys), zap.Uint64("revision", revision))
@@ -245,16 +245,7 @@
 	if f.link.Failed() {
 		f.log.Warn("store lost", zap.String("op", op), zap.String("prefix", prefix), zap.Error(err))
 	}
-	f.pause(ctx, f.config.RetryDelay)
-}
-
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	wait := f.timers.After(d)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-	case <-ctx.Done():
-	}
+	f.timers.Sleep(ctx, f.config.RetryDelay)
 }
 
 // applyConfigurations puts the configurations of a listing in force unless a newer
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -122,7 +122,7 @@
 // incarnation identifies one start of a target, which can be lost only once. It is a hash
 // because the length of store keys is limited.
 func incarnation(target registrar.Record) string {
-	return format(xxhash.Sum64String(target.ID + "@" + target.Born.UTC().Format(time.RFC3339Nano)))
+	return strconv.FormatUint(xxhash.Sum64String(target.ID+"@"+target.Born.UTC().Format(time.RFC3339Nano)), 16)
 }
 
 // Run probes targets and evaluates suspected requests until the context ends.
@@ -153,9 +153,9 @@
 // confirmLoss probes a target whose connections broke. If the probe fails, the requests
 // that were in flight there are suspected.
 func (i *Inspector) confirmLoss(ctx context.Context, target registrar.Record) {
-	wait := i.timers.After(quarantiner.ProbeDelay)
-	defer wait.Stop()
-	<-wait.C
+	if !i.timers.Sleep(ctx, quarantiner.ProbeDelay) {
+		return
+	}
 	key := incarnation(target)
 	i.mu.Lock()
 	fingerprints := i.broken.Take(i.timers.Now(), key)
@@ -224,7 +224,7 @@
 func (i *Inspector) logChanges(changed []quarantiner.Entry) {
 	for _, e := range changed {
 		if e.Remaining > 0 {
-			i.log.Warn("quarantine began", zap.String("fingerprint", format(e.Fingerprint)), zap.Duration("remaining", e.Remaining),
+			i.log.Warn("quarantine began", zap.String("fingerprint", quarantiner.FormatFingerprint(e.Fingerprint)), zap.Duration("remaining", e.Remaining),
 				zap.Int("lost-targets", e.LostTargets))
 		}
 	}
@@ -257,15 +257,13 @@
 // The caller holds mu.
 func (i *Inspector) recordClearance(now time.Time, fingerprint uint64) {
 	if i.state.Quarantined(now, fingerprint) > 0 {
-		i.log.Info("quarantine ended by a completed run", zap.String("fingerprint", format(fingerprint)))
+		i.log.Info("quarantine ended by a completed run", zap.String("fingerprint", quarantiner.FormatFingerprint(fingerprint)))
 	}
 	i.setActive(now)
 	i.state.Merge(now, []quarantiner.Entry{{Fingerprint: fingerprint}})
 	i.reports.Clear(now, fingerprint)
 }
 
-func format(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
-
 // maxLoggedFingerprints limits the fingerprints in a log line.
 const maxLoggedFingerprints = 32
 
@@ -273,7 +271,7 @@
 func formatAll(fingerprints []uint64) string {
 	texts := make([]string, min(len(fingerprints), maxLoggedFingerprints))
 	for k := range texts {
-		texts[k] = format(fingerprints[k])
+		texts[k] = quarantiner.FormatFingerprint(fingerprints[k])
 	}
 	return strings.Join(texts, ",")
 }
--- a/entry/inspector/publisher.go
+++ b/entry/inspector/publisher.go
@@ -58,20 +58,11 @@
 		}
 		if err := i.publishDue(ctx, store); err != nil {
 			i.log.Warn("cannot publish lost targets", zap.Error(err))
-			i.pause(ctx, publishRetryDelay)
+			i.timers.Sleep(ctx, publishRetryDelay)
 		}
 	}
 }
 
-func (i *Inspector) pause(ctx context.Context, d time.Duration) {
-	wait := i.timers.After(d)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-	case <-ctx.Done():
-	}
-}
-
 func (i *Inspector) publishDue(ctx context.Context, store Store) error {
 	due := i.Unpublished()
 	if len(due) == 0 {
@@ -101,7 +92,7 @@
 	if report.Clearance() {
 		name = clearedKey
 	}
-	return prefix + format(report.Fingerprint) + "/" + name
+	return prefix + quarantiner.FormatFingerprint(report.Fingerprint) + "/" + name
 }
 
 // parseKey returns the report that a key stands for, and false for other keys.
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"jackdawcart.org/core/forwarder"
 	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/entry/courier"
 )
 
@@ -20,16 +20,13 @@
 // maxListedSubRequests limits the sub-requests in a log line.
 const maxListedSubRequests = 12
 
-// formatFingerprint returns a fingerprint as it appears in logs.
-func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
-
 // fingerprintField returns the field that tells equal requests. It matters only if
 // targets may be lost under the request.
 func (c *call) fingerprintField() zap.Field {
 	if !c.broken.Load() {
 		return zap.Skip()
 	}
-	return zap.String("fingerprint", formatFingerprint(c.fingerprint))
+	return zap.String("fingerprint", quarantiner.FormatFingerprint(c.fingerprint))
 }
 
 // nonZero returns a field that is left out if its value is zero.
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -160,7 +160,7 @@
 	fingerprint := quarantiner.Fingerprint(request.Host, request.Method+" "+request.RequestURI, string(body))
 	if remaining := r.Inspector.Quarantined(fingerprint); remaining > 0 {
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "quarantined", remaining,
-			zap.String("fingerprint", formatFingerprint(fingerprint)), zap.Duration("remaining", remaining))
+			zap.String("fingerprint", quarantiner.FormatFingerprint(fingerprint)), zap.Duration("remaining", remaining))
 		return
 	}
 	if overload, ok := r.admission.admit(arrived, route); !ok {
--- a/entry/runner/connections.go
+++ b/entry/runner/connections.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"jackdawcart.org/core/timer"
 )
 
 // busyConnections tracks the connections on which a request is read, expected or
@@ -40,14 +42,7 @@
 const idlePollInterval = 10 * time.Millisecond
 
 // awaitIdle waits until no connection is busy or the context ends.
-func (b *busyConnections) awaitIdle(ctx context.Context) {
-	ticker := time.NewTicker(idlePollInterval)
-	defer ticker.Stop()
-	for b.count() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+func (b *busyConnections) awaitIdle(ctx context.Context, timers *timer.Service) {
+	for b.count() > 0 && timers.Sleep(ctx, idlePollInterval) {
 	}
 }
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -127,7 +127,7 @@
 	e.peerServer = informer.NewServer(peerConfig, e.link, e.placer, e.inspector, e.timers, e.log)
 	e.follower = follower.New(config, e.store, e.link, peers{e.peerClient, e.peerServer}, e.state, e.timers, e.log,
 		follower.Listeners{
-			Table: e.preconnect, Target: e.onTarget, EntryVMs: e.onEntryVMs,
+			Table: e.onTable, Target: e.onTarget, EntryVMs: e.onEntryVMs,
 			AllItems: e.inspector.ReplaceItems, ChangedItems: e.inspector.ApplyItems,
 		})
 	e.announcer = announcer.New(announcer.DefaultConfig(e.platform.ShutdownGrace), self, e.peerServer.HasClients, e.store, e.link, e.timers, e.log)
@@ -214,10 +214,14 @@
 	}
 }
 
+func (e *entry) onTable(table *router.Table) {
+	e.sweepState(table)
+	e.preconnect(table)
+}
+
 // preconnect opens connections to the targets of a new configuration before the
 // first request needs them.
 func (e *entry) preconnect(table *router.Table) {
-	e.sweepState(table)
 	for _, service := range table.RoutedServices() {
 		for _, record := range e.state.Targets(service) {
 			e.preconnectTarget(table, record)
--- a/entry/runner/serve.go
+++ b/entry/runner/serve.go
@@ -107,19 +107,11 @@
 	// answer, so the connections that have been accepted are served first.
 	err := callers.listener.Close()
 	<-callers.ended
-	busy.awaitIdle(ctx)
-	err = errors.Join(err, ignoreClosed(callers.Shutdown(ctx)))
+	busy.awaitIdle(ctx, e.timers)
+	err = errors.Join(err, callers.Shutdown(ctx))
 	if errors.Is(err, context.DeadlineExceeded) {
 		e.log.Warn("requests still running when the time to finish them ended", zap.Error(err))
 		err = nil
 	}
 	return errors.Join(err, balancer.Close(), metrics.Close())
 }
-
-// ignoreClosed returns nil for the error of closing a listener again.
-func ignoreClosed(err error) error {
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
--- a/gateway/issuer/key.go
+++ b/gateway/issuer/key.go
@@ -115,14 +115,7 @@
 	if i.config.Timers.Now().Add(delay).After(request.Deadline) {
 		return false
 	}
-	wait := i.config.Timers.After(delay)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return i.config.Timers.Sleep(ctx, delay)
 }
 
 // runKey runs a request whose key this process has claimed and finishes the
--- a/gateway/reporter/reporter.go
+++ b/gateway/reporter/reporter.go
@@ -3,13 +3,13 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"jackdawcart.org/core/adminapi"
 	"jackdawcart.org/core/messenger/peerpb"
 	"jackdawcart.org/core/parser"
 	"jackdawcart.org/core/planner"
+	"jackdawcart.org/core/quarantiner"
 )
 
 // Control is the control state that the gateway receives from its relays.
@@ -95,7 +95,7 @@
 	view := adminapi.Quarantine{Origin: r.origin.Now(), Entries: []adminapi.QuarantineEntry{}, Suspects: []adminapi.Suspect{}}
 	for fingerprint, until := range r.control.Quarantine() {
 		view.Entries = append(view.Entries, adminapi.QuarantineEntry{
-			Fingerprint: strconv.FormatUint(fingerprint, 16), LostTargets: []string{}, Until: until,
+			Fingerprint: quarantiner.FormatFingerprint(fingerprint), LostTargets: []string{}, Until: until,
 		})
 	}
 	return view
--- a/jackdawctl/investigator/explanation.go
+++ b/jackdawctl/investigator/explanation.go
@@ -164,8 +164,7 @@
 // isLimit reports whether a line is about the limit of a target on the request's VM, and
 // limits left no room for the request. Any target may have been the one without room.
 func (c *collector) isLimit(l Line) bool {
-	limited := c.request.Value(fieldLimited)
-	return l.Message == messageLimit && l.Node == c.request.Node && !l.At.After(c.request.At) && limited != "" && limited != "0"
+	return c.request.Value(fieldLimited) != "" && l.Message == messageLimit && l.Node == c.request.Node && !l.At.After(c.request.At)
 }
 
 // sortedStateChanges returns the state changes and the limits in force in the order of
--- a/relay/inspector/inspector.go
+++ b/relay/inspector/inspector.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -183,7 +182,7 @@
 		return
 	}
 	for _, e := range changed {
-		i.log.Warn("quarantine changed", zap.String("fingerprint", strconv.FormatUint(e.Fingerprint, 16)),
+		i.log.Warn("quarantine changed", zap.String("fingerprint", quarantiner.FormatFingerprint(e.Fingerprint)),
 			zap.Duration("remaining", e.Remaining), zap.Int("lost-targets", e.LostTargets))
 	}
 	i.network.Broadcast(&peerpb.Frame{Kind: &peerpb.Frame_QuarantineUpdate{
--- a/relay/reporter/reporter.go
+++ b/relay/reporter/reporter.go
@@ -4,11 +4,11 @@
 import (
 	"net/http"
 	"net/netip"
-	"strconv"
 
 	"jackdawcart.org/core/adminapi"
 	"jackdawcart.org/core/messenger/peerpb"
 	"jackdawcart.org/core/parser"
+	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/relay/connector"
 	"jackdawcart.org/relay/controller"
 )
@@ -130,7 +130,7 @@
 	view := adminapi.Quarantine{Origin: r.origin.Now(), Entries: []adminapi.QuarantineEntry{}, Suspects: []adminapi.Suspect{}}
 	for _, e := range r.quarantine.Entries() {
 		view.Entries = append(view.Entries, adminapi.QuarantineEntry{
-			Fingerprint: strconv.FormatUint(e.Fingerprint, 16), LostTargets: []string{},
+			Fingerprint: quarantiner.FormatFingerprint(e.Fingerprint), LostTargets: []string{},
 			Until: view.At.Add(e.Remaining.AsDuration()),
 		})
 	}
