--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -115,7 +115,7 @@
 }
 
 func (e *entry) assembleFollowing() {
-	e.store = storer.NewClient(e.platform.StoreAddress, e.own.StoreTimeout, e.countCall)
+	e.store = storer.NewClient(e.platform.StoreAddress, e.own.StoreTimeout, storer.Hooks{Called: e.countCall, Restored: e.onStoreRestored})
 	e.link = supervisor.NewLink(e.timers.Now(), longOutage)
 	config := follower.DefaultConfig(min(e.platform.DrainNotice, e.platform.ConfigurationBound), e.platform.StabilityWindow)
 	config.Domain = e.platform.Domain
@@ -133,6 +133,12 @@
 	e.announcer = announcer.New(announcer.DefaultConfig(e.platform.ShutdownGrace), self, e.peerServer.HasClients, e.store, e.link, e.timers, e.log)
 }
 
+// onStoreRestored records that the store has come back from an older copy.
+func (e *entry) onStoreRestored(before, now uint64) {
+	e.log.Warn("store restored from an older copy", zap.Uint64("era-before", before), zap.Uint64("era", now))
+	e.metrics.Scope.Counter("store_restorations").Inc(1)
+}
+
 // peers gives the follower access to the other entry VMs.
 type peers struct {
 	*informer.Client
