--- a/entry/runner/fleet_test.go
+++ b/entry/runner/fleet_test.go
@@ -202,6 +202,12 @@
 
 // do sends a request to a VM and returns the status of the answer.
 func (fx *fleet) do(t *testing.T, vm int, method, path, id string) int {
+	t.Helper()
+	return fx.send(t, vm, method, path, id).StatusCode
+}
+
+// send sends a request to a VM and returns the head of the answer.
+func (fx *fleet) send(t *testing.T, vm int, method, path, id string) *http.Response {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+fx.vms[vm].callers+path, http.NoBody)
 	if err != nil {
@@ -215,5 +221,5 @@
 		t.Fatal(err)
 	}
 	response.Body.Close()
-	return response.StatusCode
+	return response
 }
