Follow the store by era and revision

A VM kept its place in the store as a bare revision. Revisions that the copy did not have are given out again, so a VM that polled another one took the changes at them for known.

A place in the store is a sequencer.Position now: the era of the header Store-Era and the revision. A watch from another era ends as lost history and everything is read again.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -9,6 +9,7 @@
 
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/sequencer"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/platform/decoder"
@@ -18,18 +19,18 @@
 // Store is the platform's store.
 type Store interface {
 	List(ctx context.Context, prefix string) (storer.Listing, error)
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (storer.Listing, error)
+	Watch(ctx context.Context, prefix string, after sequencer.Position, wait time.Duration) (storer.Listing, error)
 }
 
 // Peers are the other entry VMs of the failure domain, one of which may read from
 // the store for the others.
 type Peers interface {
-	// Watch returns the changes after a revision, and false if no other VM serves
+	// Watch returns the changes after a position, and false if no other VM serves
 	// them.
-	Watch(ctx context.Context, after uint64) (storer.Listing, bool)
+	Watch(ctx context.Context, after sequencer.Position) (storer.Listing, bool)
 	// PublishSnapshot and PublishChanges offer the others what this VM has read.
-	PublishSnapshot(revision uint64)
-	PublishChanges(after uint64, listing storer.Listing)
+	PublishSnapshot(position sequencer.Position)
+	PublishChanges(after sequencer.Position, listing storer.Listing)
 	// StopPublishing records that another VM reads from the store instead.
 	StopPublishing()
 }
@@ -166,20 +167,20 @@
 		}
 		f.recordSuccess()
 		f.replaceAll(listing)
-		f.peers.PublishSnapshot(listing.Revision)
-		f.watch(ctx, listing.Revision)
+		f.peers.PublishSnapshot(listing.Position)
+		f.watch(ctx, listing.Position)
 	}
 }
 
-// watch follows the changes after a revision until the history is lost. A single
+// watch follows the changes after a position until the history is lost. A single
 // watch without an answer is not yet an outage; the next call decides.
-func (f *Follower) watch(ctx context.Context, revision uint64) {
+func (f *Follower) watch(ctx context.Context, position sequencer.Position) {
 	unanswered := 0
 	for ctx.Err() == nil {
-		if listing, ok := f.peers.Watch(ctx, revision); ok {
+		if listing, ok := f.peers.Watch(ctx, position); ok {
 			f.peers.StopPublishing()
 			unanswered = 0
-			revision = listing.Revision
+			position = listing.Position
 			f.applyChanges(listing)
 			continue
 		}
@@ -187,25 +188,25 @@
 			f.timers.Sleep(ctx, f.config.RetryDelay)
 			continue
 		}
-		listing, result := f.watchStore(ctx, revision)
+		listing, result := f.watchStore(ctx, position)
 		switch {
 		case result.err == nil:
 			f.recordSuccess()
 			unanswered = 0
-			f.peers.PublishChanges(revision, listing)
-			revision = listing.Revision
+			f.peers.PublishChanges(position, listing)
+			position = listing.Position
 			f.applyChanges(listing)
 			if len(listing.Items) > 0 {
 				f.timers.Sleep(ctx, f.batchDelay())
 			}
 		case storer.IsKind(result.err, storer.KindHistoryLost):
-			f.log.Warn("history lost, reading in full", zap.String("prefix", allKeys), zap.Uint64("revision", revision))
+			f.log.Warn("history lost, reading in full", zap.String("prefix", allKeys), zap.Uint64("revision", position.Revision), zap.Error(result.err))
 			f.link.Interrupt()
 			return
 		case result.interrupted:
 		case unanswered == 0 && result.timedOut:
 			unanswered++
-			f.log.Warn("watch without an answer", zap.Uint64("revision", revision), zap.Error(result.err))
+			f.log.Warn("watch without an answer", zap.Uint64("revision", position.Revision), zap.Error(result.err))
 		default:
 			f.recordFailure(ctx, "watch", allKeys, result.err)
 		}
@@ -221,14 +222,14 @@
 	timedOut bool
 }
 
-func (f *Follower) watchStore(ctx context.Context, revision uint64) (storer.Listing, watchResult) {
+func (f *Follower) watchStore(ctx context.Context, position sequencer.Position) (storer.Listing, watchResult) {
 	upCtx, stop := f.link.WhileUp(ctx)
 	defer stop()
 	watchCtx, cancel := context.WithTimeout(upCtx, f.config.WatchWait+f.config.AnswerMargin)
 	defer cancel()
-	listing, err := f.store.Watch(watchCtx, allKeys, revision, f.config.WatchWait)
-	f.log.Debug("watch ended", zap.String("prefix", allKeys), zap.Uint64("after", revision),
-		zap.Uint64("revision", listing.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
+	listing, err := f.store.Watch(watchCtx, allKeys, position, f.config.WatchWait)
+	f.log.Debug("watch ended", zap.String("prefix", allKeys), zap.Uint64("after", position.Revision),
+		zap.Uint64("revision", listing.Position.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
 	return listing, watchResult{err: err, interrupted: upCtx.Err() != nil, timedOut: watchCtx.Err() != nil}
 }
 
@@ -264,7 +265,7 @@
 			continue
 		}
 		f.log.Info("configuration in force", zap.Int64("version", table.Version),
-			zap.Uint64("revision", item.Revision), zap.Int("routes", table.RouteCount()))
+			zap.Uint64("revision", item.Revision), zap.Uint64("era", listing.Position.Era), zap.Int("routes", table.RouteCount()))
 		f.listeners.Table(table)
 	}
 }
@@ -280,9 +281,9 @@
 	afterOutage := f.link.AfterLongOutage(now, f.config.GracePeriod)
 	var events []registrar.Event
 	first := f.state.TargetCount() == 0
-	f.state.updateRegistry(func(r *registrar.Registry) { events = r.Replace(now, entries, listing.Revision, afterOutage) })
+	f.state.updateRegistry(func(r *registrar.Registry) { events = r.Replace(now, entries, listing.Position.Revision, afterOutage) })
 	if first {
-		f.log.Info("registrations read", zap.Int("targets", len(events)), zap.Uint64("revision", listing.Revision))
+		f.log.Info("registrations read", zap.Int("targets", len(events)), zap.Uint64("revision", listing.Position.Revision))
 		f.notify(zapcore.DebugLevel, events)
 		return
 	}
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -13,6 +13,7 @@
 
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/sequencer"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/follower"
@@ -24,6 +25,7 @@
 // their answers.
 type fakeStore struct {
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	items    map[string]storer.Item
 	// oldest is the revision before which changes are dropped.
@@ -75,6 +77,25 @@
 	s.oldest = s.revision
 }
 
+// restore takes the store back to a revision: the items since then are gone, and their
+// revisions are given out again. Waiting watches are not woken.
+func (s *fakeStore) restore(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision = revision
+	for key, item := range s.items {
+		if item.Revision > revision {
+			delete(s.items, key)
+		}
+	}
+}
+
+// position returns the current position. The caller holds mu.
+func (s *fakeStore) position() sequencer.Position {
+	return sequencer.Position{Era: s.era, Revision: s.revision}
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,6 +110,12 @@
 	s.revision = revision
 }
 
+func (s *fakeStore) currentRevision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 func (s *fakeStore) watchCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -116,7 +143,7 @@
 	if s.down {
 		return storer.Listing{}, errDown
 	}
-	listing := storer.Listing{Revision: s.revision}
+	listing := storer.Listing{Position: s.position()}
 	for key, item := range s.items {
 		if len(key) >= len(prefix) && key[:len(prefix)] == prefix && !item.Gone {
 			listing.Items = append(listing.Items, item)
@@ -125,7 +152,8 @@
 	return listing, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (storer.Listing, error) {
+func (s *fakeStore) Watch(ctx context.Context, prefix string, position sequencer.Position, wait time.Duration) (storer.Listing, error) {
+	after := position.Revision
 	timeout := time.After(wait)
 	s.mu.Lock()
 	s.watches++
@@ -142,11 +170,11 @@
 			s.mu.Unlock()
 			return storer.Listing{}, errDown
 		}
-		if after < s.oldest {
+		if after < s.oldest || position.Era != s.era {
 			s.mu.Unlock()
 			return storer.Listing{}, &storer.Error{Op: "watch", Kind: storer.KindHistoryLost, Err: errors.New("dropped")}
 		}
-		listing := storer.Listing{Revision: s.revision}
+		listing := storer.Listing{Position: s.position()}
 		for key, item := range s.items {
 			if len(key) >= len(prefix) && key[:len(prefix)] == prefix && item.Revision > after {
 				listing.Items = append(listing.Items, item)
@@ -184,7 +212,7 @@
 	stopped  bool
 }
 
-func (p *fakePeers) Watch(ctx context.Context, after uint64) (storer.Listing, bool) {
+func (p *fakePeers) Watch(ctx context.Context, after sequencer.Position) (storer.Listing, bool) {
 	p.mu.Lock()
 	answers := p.answers
 	p.watches++
@@ -198,18 +226,18 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listing := storer.Listing{Revision: max(p.revision, after)}
+	listing := storer.Listing{Position: sequencer.Position{Era: after.Era, Revision: max(p.revision, after.Revision)}}
 	for _, item := range p.changes {
-		if item.Revision > after {
+		if item.Revision > after.Revision {
 			listing.Items = append(listing.Items, item)
 		}
 	}
 	return listing, p.answers
 }
 
-func (p *fakePeers) PublishSnapshot(uint64) {}
+func (p *fakePeers) PublishSnapshot(sequencer.Position) {}
 
-func (p *fakePeers) PublishChanges(uint64, storer.Listing) { p.setStopped(false) }
+func (p *fakePeers) PublishChanges(sequencer.Position, storer.Listing) { p.setStopped(false) }
 
 func (p *fakePeers) StopPublishing() { p.setStopped(true) }
 
@@ -383,3 +411,22 @@
 		}
 	})
 }
+
+// A store that is restored gives revisions out again. A change at one of them must be in
+// force in time, also if no watch is woken.
+func TestRevisionGivenOutAgain(t *testing.T) {
+	run(t, func(fx *fixture) {
+		before := fx.store.currentRevision()
+		for v := range 5 {
+			fx.store.put(decoder.ConfigurationKey, version(2+v))
+		}
+		time.Sleep(2 * time.Second)
+		fx.store.restore(before)
+		fx.store.put(decoder.ConfigurationKey, version(6))
+		fx.store.put(decoder.ConfigurationKey, version(7))
+		time.Sleep(4500 * time.Millisecond)
+		if got := fx.version(); got != 7 {
+			t.Fatalf("version %d is in force, want 7", got)
+		}
+	})
+}
--- a/entry/informer/client.go
+++ b/entry/informer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -12,6 +13,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"jackdawcart.org/core/registrar"
+	"jackdawcart.org/core/sequencer"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/informer/informerpb"
 	"jackdawcart.org/platform/storer"
@@ -26,6 +28,7 @@
 	config  Config
 	self    registrar.Member
 	dial    Dialer
+	eras    Eras
 	tracker EvidenceTracker
 	reports ReportTracker
 	timers  *timer.Service
@@ -44,11 +47,11 @@
 
 // NewClient returns the client of the VM self. It calls count with the outcome of
 // each request.
-func NewClient(config Config, self registrar.Member, dial Dialer, tracker EvidenceTracker, reports ReportTracker, timers *timer.Service,
+func NewClient(config Config, self registrar.Member, dial Dialer, eras Eras, tracker EvidenceTracker, reports ReportTracker, timers *timer.Service,
 	count func(outcome string), log *zap.Logger,
 ) *Client {
 	return &Client{
-		config: config, self: self, dial: dial, tracker: tracker, reports: reports, timers: timers, count: count, log: log,
+		config: config, self: self, dial: dial, eras: eras, tracker: tracker, reports: reports, timers: timers, count: count, log: log,
 		retryAt: make(map[string]time.Time),
 	}
 }
@@ -61,10 +64,10 @@
 	c.upstreams = upstreams
 }
 
-// Watch waits for changes after a revision, and exchanges evidence with the VM
+// Watch waits for changes after a position, and exchanges evidence with the VM
 // that answers. It returns false if no VM answers; this process must then read
 // from the store itself.
-func (c *Client) Watch(ctx context.Context, after uint64) (storer.Listing, bool) {
+func (c *Client) Watch(ctx context.Context, after sequencer.Position) (storer.Listing, bool) {
 	c.mu.Lock()
 	upstreams := c.upstreams
 	c.mu.Unlock()
@@ -92,11 +95,11 @@
 }
 
 // setUpstream records which VM answers; the zero value means none.
-func (c *Client) setUpstream(m registrar.Member, revision uint64) {
+func (c *Client) setUpstream(m registrar.Member, position sequencer.Position) {
 	if m.Name == c.upstream.Name {
 		return
 	}
-	c.log.Info("informing VM", zap.String("before", c.upstream.Name), zap.String("now", m.Name), zap.Uint64("revision", revision))
+	c.log.Info("informing VM", zap.String("before", c.upstream.Name), zap.String("now", m.Name), zap.Uint64("revision", position.Revision), zap.Uint64("era", position.Era))
 	c.upstream = m
 }
 
@@ -125,7 +128,7 @@
 func (c *Client) Close() { c.disconnect() }
 
 // poll sends one request to a VM and waits for the answer.
-func (c *Client) poll(ctx context.Context, m registrar.Member, after uint64) (storer.Listing, error) {
+func (c *Client) poll(ctx context.Context, m registrar.Member, after sequencer.Position) (storer.Listing, error) {
 	if err := c.connect(ctx, m); err != nil {
 		return storer.Listing{}, &Error{Op: "dial", Kind: KindUnreachable, Err: err}
 	}
@@ -134,7 +137,7 @@
 	// SetDeadline fails only on a closed connection, which the write below reports.
 	_ = conn.SetDeadline(time.Now().Add(c.config.Wait + c.config.AnswerMargin))
 	request := &informerpb.Request{
-		After: after, Wait: durationpb.New(c.config.Wait), Evidence: toEvidence(c.tracker.TakeEvidence()),
+		After: after.Revision, Era: after.Era, Wait: durationpb.New(c.config.Wait), Evidence: toEvidence(c.tracker.TakeEvidence()),
 		Reports: toReports(c.reports.Unpublished()),
 	}
 	if err := conn.write(request); err != nil {
@@ -144,11 +147,16 @@
 	if err := conn.read(&answer); err != nil {
 		return storer.Listing{}, &Error{Op: "ask", Kind: KindUnanswered, Err: err}
 	}
+	c.eras.ObserveEra(answer.GetEra())
 	c.tracker.MergeEvidence(c.timers.Now(), fromEvidence(answer.GetEvidence()))
 	c.reports.MergeReports(c.timers.Now(), fromReports(answer.GetReports()))
 	switch answer.GetState() {
 	case informerpb.State_STATE_READING:
-		return storer.Listing{Items: fromItems(answer.GetItems()), Revision: max(answer.GetRevision(), after)}, nil
+		if answer.GetEra() != after.Era {
+			return storer.Listing{}, &Error{Op: "ask", Kind: KindHistoryLost, Err: fmt.Errorf("position of era %d, answer of era %d", after.Era, answer.GetEra())}
+		}
+		position := sequencer.Position{Era: after.Era, Revision: max(answer.GetRevision(), after.Revision)}
+		return storer.Listing{Items: fromItems(answer.GetItems()), Position: position}, nil
 	case informerpb.State_STATE_HISTORY_LOST:
 		return storer.Listing{}, &Error{Op: "ask", Kind: KindHistoryLost}
 	default:
--- a/entry/informer/informer_test.go
+++ b/entry/informer/informer_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/registrar"
+	"jackdawcart.org/core/sequencer"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/informer"
@@ -86,6 +88,7 @@
 // vm is the part of an entry VM that exchanges changes and evidence.
 type vm struct {
 	reports *reports
+	eras    *eras
 	member  registrar.Member
 	link    *supervisor.Link
 	tracker *tracker
@@ -106,10 +109,11 @@
 		link:    supervisor.NewLink(timers.Now(), time.Second),
 		tracker: &tracker{},
 		reports: &reports{},
+		eras:    &eras{},
 	}
 	config := informer.DefaultConfig()
-	v.server = informer.NewServer(config, v.link, v.tracker, v.reports, timers, zap.NewNop())
-	v.client = informer.NewClient(config, v.member, dial, v.tracker, v.reports, timers, func(string) {}, zap.NewNop())
+	v.server = informer.NewServer(config, v.link, v.eras, v.tracker, v.reports, timers, zap.NewNop())
+	v.client = informer.NewClient(config, v.member, dial, v.eras, v.tracker, v.reports, timers, func(string) {}, zap.NewNop())
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
 	var tasks sync.WaitGroup
@@ -148,6 +152,16 @@
 	return ordered
 }
 
+// at returns a position in the first era.
+func at(revision uint64) sequencer.Position { return sequencer.Position{Revision: revision} }
+
+// eras is the highest known era of a VM.
+type eras struct{ atomic.Uint64 }
+
+func (e *eras) Era() uint64 { return e.Load() }
+
+func (e *eras) ObserveEra(era uint64) { e.Store(max(era, e.Load())) }
+
 func item(key string, revision uint64) storer.Item {
 	return storer.Item{Key: key, Value: []byte("value"), Revision: revision}
 }
@@ -164,22 +178,22 @@
 func TestChangesAreDelivered(t *testing.T) {
 	vms := newDomain(t, "vm-1", "vm-2")
 	reader, poller := vms[0], vms[1]
-	reader.server.PublishSnapshot(10)
-	listing, ok := poller.client.Watch(t.Context(), 10)
+	reader.server.PublishSnapshot(at(10))
+	listing, ok := poller.client.Watch(t.Context(), at(10))
 	check(t, "answered", ok, true)
-	check(t, "without a change", listing, storer.Listing{Items: []storer.Item{}, Revision: 10})
+	check(t, "without a change", listing, storer.Listing{Items: []storer.Item{}, Position: at(10)})
 
-	reader.server.PublishChanges(10, storer.Listing{Items: []storer.Item{item("a", 11), item("b", 12)}, Revision: 12})
-	listing, _ = poller.client.Watch(t.Context(), 11)
-	check(t, "one change", listing, storer.Listing{Items: []storer.Item{item("b", 12)}, Revision: 12})
+	reader.server.PublishChanges(at(10), storer.Listing{Items: []storer.Item{item("a", 11), item("b", 12)}, Position: at(12)})
+	listing, _ = poller.client.Watch(t.Context(), at(11))
+	check(t, "one change", listing, storer.Listing{Items: []storer.Item{item("b", 12)}, Position: at(12)})
 
 	go func() {
 		time.Sleep(50 * time.Millisecond)
-		reader.server.PublishChanges(12, storer.Listing{Items: []storer.Item{item("c", 13)}, Revision: 13})
+		reader.server.PublishChanges(at(12), storer.Listing{Items: []storer.Item{item("c", 13)}, Position: at(13)})
 	}()
 	start := time.Now()
-	listing, _ = poller.client.Watch(t.Context(), 12)
-	check(t, "change while waiting", listing, storer.Listing{Items: []storer.Item{item("c", 13)}, Revision: 13})
+	listing, _ = poller.client.Watch(t.Context(), at(12))
+	check(t, "change while waiting", listing, storer.Listing{Items: []storer.Item{item("c", 13)}, Position: at(13)})
 	if took := time.Since(start); took > 200*time.Millisecond {
 		t.Errorf("change arrived after %v", took)
 	}
@@ -195,16 +209,16 @@
 	for name, breakVM := range map[string]func(*vm){
 		"store lost":       func(v *vm) { v.link.Failed() },
 		"polls another VM": func(v *vm) { v.server.StopPublishing() },
-		"history dropped":  func(v *vm) { v.server.PublishSnapshot(11) },
+		"history dropped":  func(v *vm) { v.server.PublishSnapshot(at(11)) },
 		"process ended":    func(v *vm) { v.stop() },
 		"store silent":     func(*vm) { time.Sleep(informer.DefaultConfig().MaxStoreAge + 100*time.Millisecond) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			vms := newDomain(t, "vm-1", "vm-2")
-			vms[0].server.PublishSnapshot(10)
+			vms[0].server.PublishSnapshot(at(10))
 			breakVM(vms[0])
-			if listing, ok := vms[1].client.Watch(t.Context(), 10); ok {
+			if listing, ok := vms[1].client.Watch(t.Context(), at(10)); ok {
 				t.Errorf("unexpected answer %v", listing)
 			}
 		})
@@ -215,16 +229,16 @@
 // others poll that VM.
 func TestNextVMTakesOver(t *testing.T) {
 	vms := newDomain(t, "vm-1", "vm-2", "vm-3")
-	vms[0].server.PublishSnapshot(10)
-	if _, ok := vms[2].client.Watch(t.Context(), 10); !ok {
+	vms[0].server.PublishSnapshot(at(10))
+	if _, ok := vms[2].client.Watch(t.Context(), at(10)); !ok {
 		t.Fatal("no answer from the first VM")
 	}
 	vms[0].stop()
-	if _, ok := vms[1].client.Watch(t.Context(), 10); ok {
+	if _, ok := vms[1].client.Watch(t.Context(), at(10)); ok {
 		t.Fatal("got an answer although no VM reads")
 	}
-	vms[1].server.PublishSnapshot(10)
-	if _, ok := vms[2].client.Watch(t.Context(), 10); !ok {
+	vms[1].server.PublishSnapshot(at(10))
+	if _, ok := vms[2].client.Watch(t.Context(), at(10)); !ok {
 		t.Fatal("no answer from the second VM")
 	}
 }
@@ -247,14 +261,14 @@
 	}
 	poller.client.SetMembers([]registrar.Member{hanging})
 	start := time.Now()
-	if _, ok := poller.client.Watch(t.Context(), 10); ok {
+	if _, ok := poller.client.Watch(t.Context(), at(10)); ok {
 		t.Fatal("got an answer from a hanging VM")
 	}
 	if took := time.Since(start); took > time.Second {
 		t.Errorf("poll ended after %v", took)
 	}
 	start = time.Now()
-	if _, ok := poller.client.Watch(t.Context(), 10); ok || time.Since(start) > 100*time.Millisecond {
+	if _, ok := poller.client.Watch(t.Context(), at(10)); ok || time.Since(start) > 100*time.Millisecond {
 		t.Errorf("second poll took %v, want it to skip the VM", time.Since(start))
 	}
 }
@@ -263,9 +277,9 @@
 // return to its sender, which would count it twice.
 func TestEvidenceReachesOtherVMs(t *testing.T) {
 	vms := newDomain(t, "vm-1", "vm-2", "vm-3")
-	vms[0].server.PublishSnapshot(10)
+	vms[0].server.PublishSnapshot(at(10))
 	for _, v := range vms[1:] {
-		v.client.Watch(t.Context(), 10)
+		v.client.Watch(t.Context(), at(10))
 	}
 	slow := placer.Evidence{Service: "shard", Target: "i-1", Answered: 2, Failed: 1, Latency: 8, LimitObserved: true, Limit: pacer.Limit{Named: true, PerSecond: 2.5}}
 	vms[1].tracker.add(slow)
@@ -275,7 +289,7 @@
 	for _, v := range vms[1:] {
 		polls.Go(func() {
 			for range 4 {
-				v.client.Watch(t.Context(), 10)
+				v.client.Watch(t.Context(), at(10))
 			}
 		})
 	}
@@ -316,15 +330,15 @@
 // than it holds must get no answer instead of a partial one.
 func TestHistoryIsBounded(t *testing.T) {
 	vms := newDomain(t, "vm-1", "vm-2")
-	vms[0].server.PublishSnapshot(0)
+	vms[0].server.PublishSnapshot(at(0))
 	limit := uint64(informer.DefaultConfig().MaxItems)
 	for revision := uint64(1); revision <= limit+10; revision++ {
-		vms[0].server.PublishChanges(revision-1, storer.Listing{Items: []storer.Item{item("k", revision)}, Revision: revision})
+		vms[0].server.PublishChanges(at(revision-1), storer.Listing{Items: []storer.Item{item("k", revision)}, Position: at(revision)})
 	}
-	listing, ok := vms[1].client.Watch(t.Context(), 10)
+	listing, ok := vms[1].client.Watch(t.Context(), at(10))
 	check(t, "answered", ok, true)
 	check(t, "changes", len(listing.Items), int(limit))
-	if _, ok := vms[1].client.Watch(t.Context(), 9); ok {
+	if _, ok := vms[1].client.Watch(t.Context(), at(9)); ok {
 		t.Error("got an answer that misses a change")
 	}
 }
@@ -336,7 +350,7 @@
 	polled, polling := vms[0], vms[1]
 	polled.reports.own = []quarantiner.Report{{Fingerprint: 1, Target: "t1"}, {Fingerprint: 2}}
 	polling.reports.own = []quarantiner.Report{{Fingerprint: 3, Target: "t3"}}
-	if _, ok := polling.client.Watch(t.Context(), 1); ok {
+	if _, ok := polling.client.Watch(t.Context(), at(1)); ok {
 		t.Fatal("a VM that does not read from the store answered with changes")
 	}
 	if diff := cmp.Diff(polled.reports.own, polling.reports.last()); diff != "" {
@@ -346,3 +360,29 @@
 		t.Errorf("reports of the polling VM (-want +got):\n%s", diff)
 	}
 }
+
+// A polling VM that knew the store before it was restored must get no changes, because its
+// revision means another change now. A reading VM that learns of the restore from it must
+// not answer before it has read the store again.
+func TestRestoredStore(t *testing.T) {
+	for name, c := range map[string]struct {
+		reader, poller uint64
+	}{
+		"reader knows": {reader: 1}, "polling VM knows": {poller: 1}, "both know": {reader: 1, poller: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vms := newDomain(t, "vm-1", "vm-2")
+			reader, poller := vms[0], vms[1]
+			reader.server.PublishSnapshot(sequencer.Position{Era: c.reader, Revision: 11})
+			reader.eras.ObserveEra(c.reader)
+			poller.eras.ObserveEra(c.poller)
+			listing, answered := poller.client.Watch(t.Context(), sequencer.Position{Era: c.poller, Revision: 12})
+			check(t, "answered", answered, c.reader == c.poller)
+			if answered {
+				check(t, "position", listing.Position, sequencer.Position{Era: 1, Revision: 12})
+			}
+			check(t, "era of the reader", reader.eras.Era(), uint64(1))
+			check(t, "era of the polling VM", poller.eras.Era(), uint64(1))
+		})
+	}
+}
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -12,21 +12,31 @@
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/acceptor"
+	"jackdawcart.org/core/sequencer"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/informer/informerpb"
 	"jackdawcart.org/platform/storer"
 )
 
-// Store reports the reachability of the platform's store.
-type Store interface {
+// Link reports the reachability of the platform's store.
+type Link interface {
 	LastOK() time.Time
 	State() (up bool, changed <-chan struct{})
 }
 
+// Eras tracks the era of the store, which rises each time it comes back from an older
+// copy.
+type Eras interface {
+	Era() uint64
+	// ObserveEra records an era that another VM has learned.
+	ObserveEra(era uint64)
+}
+
 // Server answers the VMs that poll this one. It is safe for concurrent use.
 type Server struct {
 	config  Config
-	store   Store
+	link    Link
+	eras    Eras
 	tracker EvidenceTracker
 	reports ReportTracker
 	timers  *timer.Service
@@ -44,25 +54,25 @@
 
 // NewServer returns a server that serves no changes until the first call of
 // PublishSnapshot or PublishChanges.
-func NewServer(config Config, store Store, tracker EvidenceTracker, reports ReportTracker, timers *timer.Service, log *zap.Logger) *Server {
+func NewServer(config Config, link Link, eras Eras, tracker EvidenceTracker, reports ReportTracker, timers *timer.Service, log *zap.Logger) *Server {
 	return &Server{
-		config: config, store: store, tracker: tracker, reports: reports, timers: timers, log: log,
+		config: config, link: link, eras: eras, tracker: tracker, reports: reports, timers: timers, log: log,
 		history: history{max: config.MaxItems}, evidenceLog: evidenceLog{max: config.MaxBatches}, changed: make(chan struct{}),
 	}
 }
 
-// PublishSnapshot records that this VM has read the whole store at a revision.
-func (s *Server) PublishSnapshot(revision uint64) {
+// PublishSnapshot records that this VM has read the whole store at a position.
+func (s *Server) PublishSnapshot(position sequencer.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reading = true
-	s.history.reset(revision)
+	s.history.reset(position)
 	s.signal()
 }
 
-// PublishChanges adds changes that this VM has read from the store after a
-// revision.
-func (s *Server) PublishChanges(after uint64, listing storer.Listing) {
+// PublishChanges adds changes that this VM has read from the store after a position, in
+// the same era.
+func (s *Server) PublishChanges(after sequencer.Position, listing storer.Listing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.reading || after != s.history.newest {
@@ -141,9 +151,10 @@
 		s.mu.Lock()
 		s.lastPoll = s.timers.Now()
 		s.mu.Unlock()
+		s.eras.ObserveEra(request.GetEra())
 		s.reports.MergeReports(s.timers.Now(), fromReports(request.GetReports()))
 		answer := s.answer(ctx, &request)
-		answer.Reports = toReports(s.reports.Unpublished())
+		answer.Reports, answer.Era = toReports(s.reports.Unpublished()), s.eras.Era()
 		s.mu.Lock()
 		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence()))
 		remote, n := s.evidenceLog.since(next, peer)
@@ -156,17 +167,17 @@
 	}
 }
 
-// answer returns the changes after the revision of the request, and waits for one
+// answer returns the changes after the position of the request, and waits for one
 // if there is none.
 func (s *Server) answer(ctx context.Context, request *informerpb.Request) *informerpb.Answer {
 	wait := s.timers.After(min(request.GetWait().AsDuration(), s.config.Wait))
 	defer wait.Stop()
-	after := request.GetAfter()
+	after := sequencer.Position{Era: request.GetEra(), Revision: request.GetAfter()}
 	for {
 		s.mu.Lock()
 		answer, changed := s.currentAnswer(after), s.changed
 		s.mu.Unlock()
-		if answer.GetState() != informerpb.State_STATE_READING || answer.GetRevision() > after {
+		if answer.GetState() != informerpb.State_STATE_READING || answer.GetRevision() > after.Revision {
 			return answer
 		}
 		select {
@@ -180,9 +191,10 @@
 }
 
 // currentAnswer returns the answer without waiting. The caller holds mu.
-func (s *Server) currentAnswer(after uint64) *informerpb.Answer {
-	up, _ := s.store.State()
-	if !s.reading || !up || s.timers.Now().Sub(s.store.LastOK()) > s.config.MaxStoreAge {
+func (s *Server) currentAnswer(after sequencer.Position) *informerpb.Answer {
+	up, _ := s.link.State()
+	stale := s.timers.Now().Sub(s.link.LastOK()) > s.config.MaxStoreAge || s.history.newest.Era != s.eras.Era()
+	if !s.reading || !up || stale {
 		return &informerpb.Answer{State: informerpb.State_STATE_NOT_READING}
 	}
 	items, ok := s.history.since(after)
@@ -190,7 +202,7 @@
 		return &informerpb.Answer{State: informerpb.State_STATE_HISTORY_LOST}
 	}
 	return &informerpb.Answer{
-		State: informerpb.State_STATE_READING, Revision: max(s.history.newest, after), Items: toItems(items),
+		State: informerpb.State_STATE_READING, Revision: max(s.history.newest.Revision, after.Revision), Items: toItems(items),
 	}
 }
 
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -123,8 +123,8 @@
 	e.inspector = inspector.New(dial, e.timers, e.metrics.Scope, e.log)
 	self := registrar.Member{Name: e.platform.VM, Domain: e.platform.Domain, Address: e.port(e.own.PeerPort)}
 	peerConfig := informer.DefaultConfig()
-	e.peerClient = informer.NewClient(peerConfig, self, dial, e.placer, e.inspector, e.timers, e.countExchange, e.log)
-	e.peerServer = informer.NewServer(peerConfig, e.link, e.placer, e.inspector, e.timers, e.log)
+	e.peerClient = informer.NewClient(peerConfig, self, dial, e.store, e.placer, e.inspector, e.timers, e.countExchange, e.log)
+	e.peerServer = informer.NewServer(peerConfig, e.link, e.store, e.placer, e.inspector, e.timers, e.log)
 	e.follower = follower.New(config, e.store, e.link, peers{e.peerClient, e.peerServer}, e.state, e.timers, e.log,
 		follower.Listeners{
 			Table: e.onTable, Target: e.onTarget, EntryVMs: e.onEntryVMs,
@@ -137,6 +137,8 @@
 func (e *entry) onStoreRestored(before, now uint64) {
 	e.log.Warn("store restored from an older copy", zap.Uint64("era-before", before), zap.Uint64("era", now))
 	e.metrics.Scope.Counter("store_restorations").Inc(1)
+	// Ends the waiting watches, which belong to the former era.
+	e.link.Interrupt()
 }
 
 // peers gives the follower access to the other entry VMs.
