Hold targets whose registration a restored store lacks

Registrations were held only after outages in which leases may have ended.

A full read in a later era counts as a loss of data, and the link treats it like the end of a long outage: what is missing is held for the grace period.

TestRegistrationMissingInRestoredCopy failed before (0 targets, want the held one).

--- a/core/supervisor/link.go
+++ b/core/supervisor/link.go
@@ -13,9 +13,11 @@
 	// other processes hold in the dependency may have expired during it.
 	longOutage time.Duration
 
-	mu             sync.Mutex
-	up             bool
-	lastOK         time.Time
+	mu     sync.Mutex
+	up     bool
+	lastOK time.Time
+	// recoveredAt is when the last outage ended, or when the dependency turned out to
+	// have lost data. lastOutageLong is set if leases and data may be missing since.
 	recoveredAt    time.Time
 	lastOutageLong bool
 	changed        chan struct{}
@@ -44,6 +46,14 @@
 	return outage, true
 }
 
+// LostData records that the dependency has come back without the latest data, which its
+// other users write again. It counts as a long outage, however short it was.
+func (l *Link) LostData(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recoveredAt, l.lastOutageLong = now, true
+}
+
 // Failed records a call without a usable answer and reports whether it begins
 // an outage.
 func (l *Link) Failed() bool {
@@ -86,7 +96,7 @@
 }
 
 // AfterLongOutage reports whether the dependency is down, or recovered from a
-// long outage less than the given time ago.
+// long outage or a loss of data less than the given time ago.
 func (l *Link) AfterLongOutage(now time.Time, within time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/supervisor/link_test.go
+++ b/core/supervisor/link_test.go
@@ -56,3 +56,23 @@
 		t.Fatal("WaitUp returned false while the store was up")
 	}
 }
+
+// A dependency that has lost data needs as long to be complete again as after a long
+// outage, however short its own was.
+func TestLossOfDataCountsAsLongOutage(t *testing.T) {
+	start := time.Unix(0, 0)
+	link := supervisor.NewLink(start, time.Second)
+	link.Failed()
+	link.Succeeded(start.Add(500 * time.Millisecond))
+	at := start.Add(600 * time.Millisecond)
+	if link.AfterLongOutage(at, time.Second) {
+		t.Error("a short outage counts as a long one")
+	}
+	link.LostData(at)
+	if !link.AfterLongOutage(at.Add(900*time.Millisecond), time.Second) {
+		t.Error("the loss of data does not count as a long outage")
+	}
+	if link.AfterLongOutage(at.Add(time.Second), time.Second) {
+		t.Error("the loss of data counts for too long")
+	}
+}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -99,6 +99,8 @@
 	listeners Listeners
 	memberSet *registrar.MemberSet
 	members   []registrar.Member
+	// readAt is the position of the last full read, zero before the first one.
+	readAt sequencer.Position
 }
 
 // Listeners are called after each change of the State and of the entry VMs.
@@ -166,6 +168,10 @@
 			continue
 		}
 		f.recordSuccess()
+		if f.readAt != (sequencer.Position{}) && listing.Position.Era > f.readAt.Era {
+			f.link.LostData(f.timers.Now())
+		}
+		f.readAt = listing.Position
 		f.replaceAll(listing)
 		f.peers.PublishSnapshot(listing.Position)
 		f.watch(ctx, listing.Position)
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -484,3 +484,24 @@
 		})
 	}
 }
+
+// A target whose registration was written after the copy must stay in use until it has
+// had the time to register again, however short the outage was.
+func TestRegistrationMissingInRestoredCopy(t *testing.T) {
+	run(t, func(fx *fixture) {
+		before := fx.store.backup()
+		fx.store.put("servers/i-1", numbered("ready", 1))
+		time.Sleep(2 * time.Second)
+		fx.store.restore(before)
+		fx.store.put("entry-vms/x", "wakes the watch")
+		time.Sleep(2 * time.Second)
+		if got := len(fx.state.Targets("shard")); got != 1 {
+			t.Fatalf("%d targets after the restore, want the held one", got)
+		}
+		fx.store.put("servers/i-1", numbered("ready", 2))
+		time.Sleep(4 * time.Second)
+		if got := len(fx.state.Targets("shard")); got != 1 {
+			t.Fatalf("%d targets after it registered again, want 1", got)
+		}
+	})
+}
