Bind leases to the era of the store

A restored store has forgotten the latest leases and gives their numbers out again. A VM whose lease was among them renewed another VM's, so its entry stayed missing and the others used more than their share of the repeats; when it stopped, it ended the other one's lease and with it that VM's entry.

A lease carries its era. A call under a lease of a former era is void: the VM is announced again at once. A VM that stops removes its own entry, if it still has the revision that the VM wrote, and no longer ends a lease by its number.

--- a/core/supervisor/link_test.go
+++ b/core/supervisor/link_test.go
@@ -60,19 +60,14 @@
 // A dependency that has lost data needs as long to be complete again as after a long
 // outage, however short its own was.
 func TestLossOfDataCountsAsLongOutage(t *testing.T) {
-	start := time.Unix(0, 0)
-	link := supervisor.NewLink(start, time.Second)
-	link.Failed()
-	link.Succeeded(start.Add(500 * time.Millisecond))
-	at := start.Add(600 * time.Millisecond)
-	if link.AfterLongOutage(at, time.Second) {
+	l := supervisor.NewLink(start, time.Second)
+	l.Failed()
+	l.Succeeded(at(500 * time.Millisecond))
+	if l.AfterLongOutage(at(600*time.Millisecond), time.Second) {
 		t.Error("a short outage counts as a long one")
 	}
-	link.LostData(at)
-	if !link.AfterLongOutage(at.Add(900*time.Millisecond), time.Second) {
-		t.Error("the loss of data does not count as a long outage")
-	}
-	if link.AfterLongOutage(at.Add(time.Second), time.Second) {
-		t.Error("the loss of data counts for too long")
+	l.LostData(at(600 * time.Millisecond))
+	if !l.AfterLongOutage(at(1500*time.Millisecond), time.Second) || l.AfterLongOutage(at(1600*time.Millisecond), time.Second) {
+		t.Error("the loss of data must count for one second")
 	}
 }
--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -42,10 +42,11 @@
 
 // Store is the platform's store.
 type Store interface {
-	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
-	Renew(ctx context.Context, lease uint64) error
-	End(ctx context.Context, lease uint64) error
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	Grant(ctx context.Context, ttl time.Duration) (storer.Lease, error)
+	Renew(ctx context.Context, lease storer.Lease) error
+	// Put returns the revision of the key.
+	Put(ctx context.Context, key string, value []byte, lease storer.Lease) (uint64, error)
+	Remove(ctx context.Context, key string, revision uint64) error
 }
 
 // Config holds the intervals and timeouts of the announcer.
@@ -93,7 +94,9 @@
 	timers     *timer.Service
 	log        *zap.Logger
 
-	lease uint64
+	// lease and revision are those of the VM's entry. The lease is zero while there is none.
+	lease    storer.Lease
+	revision uint64
 	// lastCall is the time of the last renewal or announcement.
 	lastCall time.Time
 }
@@ -143,13 +146,13 @@
 // renew extends the lease, or announces the VM under a new one.
 func (a *Announcer) renew(ctx context.Context) error {
 	a.lastCall = a.timers.Now()
-	if a.lease != 0 {
+	if a.lease != (storer.Lease{}) {
 		err := a.store.Renew(ctx, a.lease)
 		if !storer.IsKind(err, storer.KindNotFound) {
 			return err
 		}
-		a.log.Warn("lease expired; announcing the VM again", zap.Uint64("lease", a.lease))
-		a.lease = 0
+		a.log.Warn("lease expired; announcing the VM again", zap.Uint64("lease", a.lease.ID), zap.Error(err))
+		a.lease = storer.Lease{}
 	}
 	lease, err := a.store.Grant(ctx, a.config.LeaseTTL)
 	if err != nil {
@@ -159,10 +162,11 @@
 	if err != nil {
 		return err
 	}
-	if err := a.store.Put(ctx, prefix+a.self.Name, value, lease); err != nil {
+	revision, err := a.store.Put(ctx, prefix+a.self.Name, value, lease)
+	if err != nil {
 		return err
 	}
-	a.lease = lease
+	a.lease, a.revision = lease, revision
 	return nil
 }
 
@@ -185,13 +189,15 @@
 	}
 }
 
+// leave removes the VM's entry. It does not end the lease, which could be another VM's if
+// the store has been restored meanwhile.
 func (a *Announcer) leave() {
-	if a.lease == 0 {
+	if a.lease == (storer.Lease{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.config.LeaveTimeout)
 	defer cancel()
-	if err := a.store.End(ctx, a.lease); err != nil {
-		a.log.Warn("cannot end the lease; the entry remains until it expires", zap.Uint64("lease", a.lease), zap.Error(err))
+	if err := a.store.Remove(ctx, prefix+a.self.Name, a.revision); err != nil {
+		a.log.Warn("cannot remove the entry; it remains until its lease expires", zap.Uint64("lease", a.lease.ID), zap.Error(err))
 	}
 }
--- a/entry/announcer/announcer_test.go
+++ b/entry/announcer/announcer_test.go
@@ -24,8 +24,9 @@
 	mu       sync.Mutex
 	lease    uint64
 	keys     map[string]uint64
+	revision uint64
 	renewals int
-	// hangs makes End block until its context ends.
+	// hangs makes Remove block until its context ends.
 	hangs bool
 	// hasClients is set while other VMs poll this one.
 	hasClients atomic.Bool
@@ -33,24 +34,24 @@
 
 var errNoLease = &storer.Error{Op: "renew", Kind: storer.KindNotFound, Err: errors.New("no such lease")}
 
-func (s *fakeStore) Grant(context.Context, time.Duration) (uint64, error) {
+func (s *fakeStore) Grant(context.Context, time.Duration) (storer.Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lease++
-	return s.lease, nil
+	return storer.Lease{ID: s.lease}, nil
 }
 
-func (s *fakeStore) Renew(_ context.Context, lease uint64) error {
+func (s *fakeStore) Renew(_ context.Context, lease storer.Lease) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.renewals++
-	if lease != s.lease || len(s.keys) == 0 {
+	if lease.ID != s.lease || len(s.keys) == 0 {
 		return errNoLease
 	}
 	return nil
 }
 
-func (s *fakeStore) End(ctx context.Context, lease uint64) error {
+func (s *fakeStore) Remove(ctx context.Context, key string, revision uint64) error {
 	if s.hangs {
 		<-ctx.Done()
 	}
@@ -59,19 +60,25 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, l := range s.keys {
-		if l == lease {
-			delete(s.keys, key)
-		}
+	if revision == s.revision {
+		delete(s.keys, key)
 	}
 	return nil
 }
 
-func (s *fakeStore) Put(_ context.Context, key string, _ []byte, lease uint64) error {
+// endLeases ends all leases.
+func (s *fakeStore) endLeases() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.keys[key] = lease
-	return nil
+	clear(s.keys)
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, _ []byte, lease storer.Lease) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys[key] = lease.ID
+	s.revision++
+	return s.revision, nil
 }
 
 func (s *fakeStore) snapshot() (keys map[string]uint64, renewals int) {
@@ -109,9 +116,7 @@
 // entry; otherwise the others use less than their share until its lease expires.
 func TestAnnouncedUntilItLeaves(t *testing.T) {
 	store := run(t, func(store *fakeStore, _ *supervisor.Link) {
-		if err := store.End(t.Context(), 1); err != nil {
-			t.Fatal(err)
-		}
+		store.endLeases()
 		time.Sleep(3 * time.Second)
 		keys, _ := store.snapshot()
 		if diff := cmp.Diff(map[string]uint64{"entry-vms/vm-1": 2}, keys); diff != "" {
--- a/entry/inspector/inspector_test.go
+++ b/entry/inspector/inspector_test.go
@@ -38,9 +38,11 @@
 
 const watchDelay = 800 * time.Millisecond
 
-func (s *store) Grant(context.Context, time.Duration) (uint64, error) { return 1, nil }
+func (s *store) Grant(context.Context, time.Duration) (storer.Lease, error) {
+	return storer.Lease{ID: 1}, nil
+}
 
-func (s *store) PutAll(_ context.Context, items []storer.Item, _ uint64) error {
+func (s *store) PutAll(_ context.Context, items []storer.Item, _ storer.Lease) error {
 	for _, item := range items {
 		s.change(item)
 	}
--- a/entry/inspector/publisher.go
+++ b/entry/inspector/publisher.go
@@ -35,8 +35,8 @@
 
 // Store is the platform's store.
 type Store interface {
-	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
-	PutAll(ctx context.Context, items []storer.Item, lease uint64) error
+	Grant(ctx context.Context, ttl time.Duration) (storer.Lease, error)
+	PutAll(ctx context.Context, items []storer.Item, lease storer.Lease) error
 }
 
 // Link tells whether the store can be reached.
