Write clearances again that a restored store has lost

A request that had been cleared of crashing targets was refused for up to ten minutes by VMs that started after the store had come back from a copy older than the clearance: the copy held the losses before it, and nobody wrote the clearance again.

The VMs that knew the clearance leave these losses out and write it again, spread over a second so that one of them is the first. TestClearanceOutlivesRestore failed before (a VM that starts refuses the request).

--- a/entry/inspector/inspector_test.go
+++ b/entry/inspector/inspector_test.go
@@ -65,6 +65,16 @@
 	})
 }
 
+// restore replaces the items with those of a backup, which all inspectors read in full.
+func (s *store) restore(backup []storer.Item) {
+	s.mu.Lock()
+	s.items = slices.Clone(backup)
+	s.mu.Unlock()
+	for _, i := range s.inspectors {
+		i.ReplaceItems(backup)
+	}
+}
+
 func (s *store) all() []storer.Item {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -259,3 +269,28 @@
 		}
 	})
 }
+
+// A store that is restored from a copy older than a clearance holds the losses before it
+// again. They must not quarantine the request, and a VM that starts must learn that.
+func TestClearanceOutlivesRestore(t *testing.T) {
+	run(t, 2, refuse, func(s *store, vms []*inspector.Inspector) {
+		vms[0].Broke(target("t1"), poison)
+		vms[0].Broke(target("t2"), poison)
+		time.Sleep(5 * time.Second)
+		backup := s.all()
+		vms[1].Completed(poison)
+		time.Sleep(5 * time.Second)
+		s.restore(backup)
+		time.Sleep(5 * time.Second)
+		for k, i := range vms {
+			if i.Quarantined(poison) > 0 {
+				t.Errorf("VM %d refuses the request", k)
+			}
+		}
+		late := newInspector(refuse, timer.NewService())
+		late.ReplaceItems(s.all())
+		if late.Quarantined(poison) > 0 {
+			t.Errorf("a VM that starts refuses the request; store: %v", s.keys())
+		}
+	})
+}
--- a/entry/inspector/publisher.go
+++ b/entry/inspector/publisher.go
@@ -134,7 +134,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.timers.Now()
-	reports := currentReports(items)
+	reports := i.keepClearances(now, currentReports(items))
 	for _, report := range i.reports.AllPublished() {
 		if !slices.Contains(reports, report) {
 			i.recordWithdrawn(now, report)
@@ -146,6 +146,27 @@
 	}
 }
 
+// keepClearances returns the reports of a full listing without the losses of requests that
+// are cleared but whose clearance is missing: the store was restored from a copy older than
+// it. Those clearances are written again. The caller holds mu.
+func (i *Inspector) keepClearances(now time.Time, reports []quarantiner.Report) []quarantiner.Report {
+	for _, clearance := range i.reports.AllPublished() {
+		if !clearance.Clearance() || slices.Contains(reports, clearance) {
+			continue
+		}
+		reports = slices.DeleteFunc(reports, func(loss quarantiner.Report) bool {
+			if loss.Fingerprint != clearance.Fingerprint {
+				return false
+			}
+			i.reports.Published(loss)
+			return true
+		})
+		i.setActive(now)
+		i.reports.Clear(now.Add(rand.N(republishSpread)), clearance.Fingerprint)
+	}
+	return reports
+}
+
 // currentReports returns the reports among items in the order in which they were written,
 // without the losses before a clearance and without clearances before a loss.
 func currentReports(items []storer.Item) []quarantiner.Report {
