Log when a VM hears of no target at all

The logs showed the reachability of single targets, not whether the VM or its targets are cut off. A detector follows which targets are silent since the last answer of any target; three of them for 200 ms mean that the VM is cut off.

--- a/entry/responder/bench_test.go
+++ b/entry/responder/bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/diverter"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
@@ -92,6 +93,7 @@
 		Domain: "a", Directory: dir, Pools: pools, Timers: timer.NewService(), Spans: tracer.Disabled(),
 		Placer:    placer.New(placer.DefaultConfig(), "vm-1", "a", rand.New(rand.NewPCG(1, 2))),
 		Inspector: inspector.New(dial, timer.NewService(), tally.NoopScope, zap.NewNop()),
+		Detector:  diverter.NewDetector(),
 		OnVacated: func(string) {},
 	}, tally.NoopScope, zap.NewNop())
 }
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -147,7 +147,9 @@
 	pool := r.Pools.Pool(record.ID, record.Address, options)
 	route, latencyObjective, replies := c.route.Name, c.route.LatencyObjective, c.replies
 	fingerprint, completed, broken := c.fingerprint, &c.completed, &c.broken
+	r.Detector.Sent(now, record.ID)
 	exchange := pool.Send(now, request, func(got courier.Reply) {
+		r.heard(got)
 		r.Placer.Ended(r.Timers.Now(), route, latencyObjective, s.Placement, got.Result)
 		r.observeLimit(s.Placement, got)
 		switch {
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/diverter"
 	"jackdawcart.org/core/forwarder"
 	"jackdawcart.org/core/meter"
 	"jackdawcart.org/core/placer"
@@ -77,6 +78,7 @@
 	Timers    *timer.Service
 	Spans     *tracer.Tracer
 	Inspector Inspector
+	Detector  *diverter.Detector
 	// OnVacated is called with the ID of a target when another target answers at
 	// its address.
 	OnVacated func(target string)
@@ -168,6 +170,7 @@
 			overload.fields(route.Priority)...)
 		return
 	}
+	r.checkCut(arrived)
 	r.run(w, request, &call{
 		responder: r, table: table, route: route, services: services, arrived: arrived,
 		id: decoder.RequestID(request.Header), deadline: deadline, body: body, fingerprint: fingerprint,
--- a/entry/responder/responder_test.go
+++ b/entry/responder/responder_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/diverter"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
@@ -89,6 +90,7 @@
 		Domain: "a", Directory: fx.directory, Pools: pools, Timers: timer.NewService(), Spans: tracer.Disabled(),
 		Placer:    placer.New(placer.DefaultConfig(), "vm-1", "a", rand.New(rand.NewPCG(1, 2))),
 		Inspector: inspector.New(dial, timer.NewService(), tally.NoopScope, zap.NewNop()),
+		Detector:  diverter.NewDetector(),
 		OnVacated: func(string) {},
 	}, fx.scope, zap.NewNop())
 	return fx
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/diverter"
 	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/meter"
 	"jackdawcart.org/core/placer"
@@ -165,7 +166,7 @@
 	config.Query.CallerTime = e.own.CallerTime
 	e.responder = responder.New(config, responder.Dependencies{
 		Domain: e.platform.Domain, Directory: e.state, Placer: e.placer, Pools: e.pools, Timers: e.timers, Spans: e.spans,
-		Inspector: e.inspector, OnVacated: e.follower.Vacate,
+		Inspector: e.inspector, Detector: diverter.NewDetector(), OnVacated: e.follower.Vacate,
 	}, e.metrics.Scope, e.log)
 	e.ready = &readiness{state: e.state}
 }
