--- a/entry/runner/fleet_test.go
+++ b/entry/runner/fleet_test.go
@@ -54,18 +54,18 @@
 var fleets int
 
 func newFleet(t *testing.T, vms int) *fleet {
+	t.Helper()
+	return newFleetWith(t, vms, func(_ int, fx *fleet) http.Handler { return fx.store })
+}
+
+// newFleetWith returns a fleet in which view returns the store as the VM with an index sees
+// it.
+func newFleetWith(t *testing.T, vms int, view func(i int, fx *fleet) http.Handler) *fleet {
 	t.Helper()
 	fx := &fleet{binary: filepath.Join(t.TempDir(), "jackdawcart-entry"), store: standin.NewStore()}
 	if text, err := exec.Command("go", "build", "-o", fx.binary, "..").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, text)
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &http.Server{Handler: fx.store, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
 	t.Cleanup(fx.stopTargets)
 	for _, service := range standin.Services(shardCount) {
 		for k := range replicasPerService {
@@ -75,7 +75,7 @@
 	fx.store.Configure(standin.Configuration{Version: 1, Shards: shardCount, LatencyObjective: 500 * time.Millisecond, MinShardShare: 0.75})
 	fleets++
 	for i := range vms {
-		fx.vms = append(fx.vms, newVM(t, i, listener.Addr().String()))
+		fx.vms = append(fx.vms, newVM(t, i, serveStore(t, view(i, fx))))
 		fx.start(t, i)
 	}
 	t.Cleanup(func() {
@@ -89,6 +89,19 @@
 	return fx
 }
 
+// serveStore serves a view of the store until the test ends, and returns its address.
+func serveStore(t *testing.T, view http.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: view, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
 // newVM writes the settings of a VM.
 func newVM(t *testing.T, i int, store string) *vm {
 	t.Helper()
