Pass requests to other VMs while a VM cannot reach its targets

A VM used only its own links, and took each target for down, one after the other, in 2.4 s of requests that ran into their deadlines.

A VM that hears of no target passes whole requests to another one, over a port of its own (request-port). That VM serves the request as its own, or says that it cannot without having run it, and the next one is asked. A request whose own targets cannot be reached is passed on as well; one that a VM has taken never is, so nothing runs twice. Each hop carries the time left, the elapsed time and the oldest configuration by which the caller may be served. Targets are asked for their health until one answers. Without another VM, requests are refused at once. Explain shows the hops of a request.

--- /dev/null
+++ b/core/diverter/neighbours.go
@@ -0,0 +1,78 @@
+package diverter
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"jackdawcart.org/core/container"
+	"jackdawcart.org/core/registrar"
+)
+
+// avoidPeriod is how long a VM that could not take a request is not asked again.
+const avoidPeriod = 2 * time.Second
+
+// Neighbours chooses the VM that takes a request which this VM cannot serve. It is safe for
+// concurrent use.
+type Neighbours struct {
+	self registrar.Member
+
+	mu      sync.Mutex
+	members []registrar.Member
+	// avoidUntil holds the VMs that could not take a request.
+	avoidUntil map[string]time.Time
+}
+
+// NewNeighbours returns the neighbours of the VM self, none at first.
+func NewNeighbours(self registrar.Member) *Neighbours {
+	return &Neighbours{self: self, avoidUntil: make(map[string]time.Time)}
+}
+
+// SetMembers replaces the known entry VMs.
+func (n *Neighbours) SetMembers(members []registrar.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members = members
+	maps.DeleteFunc(n.avoidUntil, func(name string, _ time.Time) bool {
+		return !slices.ContainsFunc(members, func(m registrar.Member) bool { return m.Name == name })
+	})
+}
+
+// Avoid records that a VM could not take a request.
+func (n *Neighbours) Avoid(now time.Time, name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.avoidUntil[name] = now.Add(avoidPeriod)
+}
+
+// maxNearTried is the number of VMs of the own failure domain that are asked before one of
+// another domain, because a whole domain may be cut off together.
+const maxNearTried = 2
+
+// Choose returns a VM that has not been tried, and false if no further one is likely to
+// take a request. It prefers the own failure domain, as bytes between domains are paid for,
+// and spreads the requests over the VMs of a domain.
+func (n *Neighbours) Choose(now time.Time, tried container.Set[string]) (registrar.Member, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var near, far []registrar.Member
+	for _, m := range n.members {
+		switch {
+		case m.Name == n.self.Name || !m.RequestAddress.IsValid() || tried.Has(m.Name) || now.Before(n.avoidUntil[m.Name]):
+		case m.Domain == n.self.Domain:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	candidates := near
+	if len(near) == 0 || len(tried) >= maxNearTried && len(far) > 0 {
+		candidates = far
+	}
+	if len(candidates) == 0 {
+		return registrar.Member{}, false
+	}
+	return candidates[rand.IntN(len(candidates))], true
+}
--- a/core/registrar/members.go
+++ b/core/registrar/members.go
@@ -15,6 +15,9 @@
 	// Address is where the member serves other members, the zero value if it
 	// does not.
 	Address netip.AddrPort
+	// RequestAddress is where the member takes requests of callers that other members
+	// cannot serve, the zero value if it does not.
+	RequestAddress netip.AddrPort
 }
 
 // MemberSet tracks the processes that announce themselves under leases. A missing
--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -22,8 +22,9 @@
 
 // announcement is the value under the key of an entry VM.
 type announcement struct {
-	Domain  string         `json:"domain"`
-	Address netip.AddrPort `json:"address"`
+	Domain         string         `json:"domain"`
+	Address        netip.AddrPort `json:"address"`
+	RequestAddress netip.AddrPort `json:"request-address"`
 }
 
 // ParseItem returns the entry VM that an item announces, and false for other items.
@@ -37,7 +38,7 @@
 	if err := json.Unmarshal(item.Value, &value); err != nil {
 		return registrar.Member{Name: name}, true
 	}
-	return registrar.Member{Name: name, Domain: value.Domain, Address: value.Address}, true
+	return registrar.Member{Name: name, Domain: value.Domain, Address: value.Address, RequestAddress: value.RequestAddress}, true
 }
 
 // Store is the platform's store.
@@ -158,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(announcement{Domain: a.self.Domain, Address: a.self.Address})
+	value, err := json.Marshal(announcement{Domain: a.self.Domain, Address: a.self.Address, RequestAddress: a.self.RequestAddress})
 	if err != nil {
 		return err
 	}
--- a/entry/configurer/settings.go
+++ b/entry/configurer/settings.go
@@ -29,6 +29,9 @@
 	// PeerPort is the offset of the port on which other VMs of the failure domain
 	// poll this one.
 	PeerPort int `json:"peer-port"`
+	// RequestPort is the offset of the port on which this VM takes requests of callers
+	// that other VMs cannot serve.
+	RequestPort int `json:"request-port"`
 	// TraceEndpoint is the address to which spans are exported; empty disables them.
 	TraceEndpoint string  `json:"trace-endpoint"`
 	TraceShare    float64 `json:"trace-share"`
@@ -45,6 +48,7 @@
 		LogLevel:     zapcore.InfoLevel,
 		MetricsPort:  1,
 		PeerPort:     2,
+		RequestPort:  3,
 		TraceShare:   0.001,
 		StoreTimeout: time.Second,
 		CallerTime:   9 * time.Millisecond,
@@ -97,13 +101,19 @@
 // to last.
 func (s Settings) CheckPorts(first, last uint16) error {
 	maxOffset := int(last) - int(first)
-	switch {
-	case s.MetricsPort > maxOffset || s.PeerPort > maxOffset:
-		return &Error{Op: "check", Err: fmt.Errorf("metrics-port: %d, peer-port: %d, allowed: at most %d, because the internal port range is %d to %d",
-			s.MetricsPort, s.PeerPort, maxOffset, first, last)}
-	case s.MetricsPort == s.PeerPort:
-		return &Error{Op: "check", Err: fmt.Errorf("metrics-port and peer-port: both %d, allowed: two different numbers", s.PeerPort)}
-	default:
-		return nil
+	nameOf := make(map[int]string)
+	for _, port := range []struct {
+		name   string
+		offset int
+	}{{"metrics-port", s.MetricsPort}, {"peer-port", s.PeerPort}, {"request-port", s.RequestPort}} {
+		if port.offset > maxOffset {
+			return &Error{Op: "check", Err: fmt.Errorf("%s: %d, allowed: at most %d, because the internal port range is %d to %d",
+				port.name, port.offset, maxOffset, first, last)}
+		}
+		if other, ok := nameOf[port.offset]; ok {
+			return &Error{Op: "check", Err: fmt.Errorf("%s and %s: both %d, allowed: two different numbers", other, port.name, port.offset)}
+		}
+		nameOf[port.offset] = port.name
 	}
+	return nil
 }
--- a/entry/courier/error.go
+++ b/entry/courier/error.go
@@ -24,6 +24,8 @@
 	// KindRetired means that the pool of the target was closed, because the target
 	// was retired or has a new address, or the process stops.
 	KindRetired Kind = "retired"
+	// KindCancelled means that no connection was free in the time that the sender waited.
+	KindCancelled Kind = "cancelled"
 )
 
 // Error is the error type of this package.
@@ -41,4 +43,6 @@
 
 var errClosedBeforeAnswer = errors.New("the connection ended before its first answer")
 
+var errCancelled = &Error{Op: "send", Kind: KindCancelled, Err: errors.New("no connection in time")}
+
 var errRetired = &Error{Op: "send", Kind: KindRetired, Err: errors.New("the connection pool of the target is closed")}
--- a/entry/courier/exchange.go
+++ b/entry/courier/exchange.go
@@ -26,6 +26,8 @@
 	Deadline time.Time
 	// MaxBodyBytes limits the body of the answer.
 	MaxBodyBytes int64
+	// ToVM is set for a request to another entry VM, whose answer is final as it is.
+	ToVM bool
 }
 
 // Reply is the outcome of a sub-request.
@@ -93,6 +95,21 @@
 	p.mu.Unlock()
 }
 
+// Cancel ends a request that has not been sent yet, and reports whether it did.
+func (e *Exchange) Cancel() bool {
+	p := e.pool
+	p.mu.Lock()
+	if e.state != queued {
+		p.mu.Unlock()
+		return false
+	}
+	p.removeQueued(e)
+	e.state = ended
+	p.mu.Unlock()
+	e.done(Reply{Result: placer.Unsent, Err: errCancelled})
+	return true
+}
+
 // Pools holds the connection pools of all targets. It is safe for concurrent use.
 type Pools struct {
 	dial  Dialer
--- a/entry/responder/bench_test.go
+++ b/entry/responder/bench_test.go
@@ -22,6 +22,7 @@
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/entry/courier"
+	"jackdawcart.org/entry/delegator"
 	"jackdawcart.org/entry/inspector"
 	"jackdawcart.org/entry/responder"
 )
@@ -94,6 +95,7 @@
 		Placer:    placer.New(placer.DefaultConfig(), "vm-1", "a", rand.New(rand.NewPCG(1, 2))),
 		Inspector: inspector.New(dial, timer.NewService(), tally.NoopScope, zap.NewNop()),
 		Detector:  diverter.NewDetector(),
+		Delegator: delegator.New(registrar.Member{Name: "vm-1", Domain: "a"}, dial, timer.NewService()),
 		OnVacated: func(string) {},
 	}, tally.NoopScope, zap.NewNop())
 }
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -27,6 +27,7 @@
 	body      []byte
 	// fingerprint is the same for equal requests.
 	fingerprint uint64
+	hop         hop
 
 	query       *forwarder.Query
 	requestLine []byte
@@ -69,16 +70,21 @@
 // outside of run: when it is read and when its answer is written.
 const lagsPerAnswer = 2
 
+// hopTime is the part of the latency objective that is reserved for the path through the VM
+// which has passed a request on, and for its work.
+const hopTime = 4 * time.Millisecond
+
 // run sends the sub-requests and waits until the request can be answered.
 func (c *call) run(ctx context.Context, request *http.Request) forwarder.Decision {
 	r := c.responder
-	c.method = request.Method
-	c.requestLine = []byte(request.Method + " " + request.RequestURI + " HTTP/1.1\r\n")
-	c.head = decoder.NewTargetHeader(request.Host, request.Header, c.body)
+	c.encode(request)
 	c.replies = make(chan *reply, len(c.services)*(max(c.route.MaxAttempts, 1)+r.config.Query.MaxUnsentAttempts))
 	config := r.config.Query
 	// The lag delayed the reading of the request and will delay writing the answer.
 	config.CallerTime += lagsPerAnswer * r.lag.Estimate()
+	if c.hop.delegated {
+		config.CallerTime += hopTime
+	}
 	c.query = forwarder.New(config, r.Placer, r.Directory, c.table, c.route, c.services, c.arrived, c.deadline)
 	c.subRequests = make([]subRequest, 0, len(c.services)+len(c.services)/4)
 	c.exchanges = make([]*courier.Exchange, 0, cap(c.subRequests))
@@ -113,6 +119,13 @@
 	}
 }
 
+// encode sets the parts of the request that are the same for every target.
+func (c *call) encode(request *http.Request) {
+	c.method = request.Method
+	c.requestLine = []byte(request.Method + " " + request.RequestURI + " HTTP/1.1\r\n")
+	c.head = decoder.NewTargetHeader(request.Host, request.Header, c.body)
+}
+
 func (c *call) send(now time.Time, sends []forwarder.Send) {
 	for _, s := range sends {
 		switch {
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -29,6 +29,14 @@
 	return zap.String("fingerprint", quarantiner.FormatFingerprint(c.fingerprint))
 }
 
+// field returns the field that names the VM which has passed a request on.
+func (h hop) field() zap.Field {
+	if !h.delegated {
+		return zap.Skip()
+	}
+	return zap.String("for-vm", h.VM)
+}
+
 // nonZero returns a field that is left out if its value is zero.
 func nonZero(name string, value int) zap.Field {
 	if value == 0 {
@@ -58,7 +66,7 @@
 		zap.Duration("aim", c.route.LatencyObjective), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
 		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote),
 		zap.Int("no-target", c.query.PlacementFailures().NoTarget), zap.Int("no-budget", c.query.PlacementFailures().NoBudget),
-		nonZero("limited", c.query.PlacementFailures().Limited),
+		c.hop.field(), nonZero("limited", c.query.PlacementFailures().Limited),
 		zap.Bool("caller-left", c.callerLeft), zap.String("troubles", c.troubles(c.arrived.Add(took))))
 }
 
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -23,6 +23,7 @@
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/entry/courier"
+	"jackdawcart.org/entry/delegator"
 	"jackdawcart.org/platform/decoder"
 )
 
@@ -79,6 +80,7 @@
 	Spans     *tracer.Tracer
 	Inspector Inspector
 	Detector  *diverter.Detector
+	Delegator Delegator
 	// OnVacated is called with the ID of a target when another target answers at
 	// its address.
 	OnVacated func(target string)
@@ -93,6 +95,9 @@
 	lag       timer.Lag
 	admission *admission
 	stopping  atomic.Bool
+	// cutBegan wakes Probe.
+	cutBegan    chan struct{}
+	unreachable unreachableRoutes
 }
 
 type metrics struct {
@@ -104,6 +109,7 @@
 func New(config Config, dependencies Dependencies, scope tally.Scope, log *zap.Logger) *Responder {
 	return &Responder{
 		Dependencies: dependencies, config: config, log: log, admission: newAdmission(),
+		cutBegan: make(chan struct{}, 1), unreachable: unreachableRoutes{until: make(map[string]time.Time)},
 		metrics: metrics{scope: scope, latency: scope.Histogram("request_latency", meter.LatencyBuckets)},
 	}
 }
@@ -115,7 +121,12 @@
 // ServeHTTP answers one request. A panic ends that request only; as targets may have
 // run it, its caller is not told that it has not run.
 func (r *Responder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	arrived := r.Timers.Now()
+	delegator.RemoveHop(request.Header)
+	r.serveGuarded(w, request, hop{})
+}
+
+func (r *Responder) serveGuarded(w http.ResponseWriter, request *http.Request, h hop) {
+	arrived := r.Timers.Now().Add(-h.Elapsed)
 	defer func() {
 		if v := recover(); v != nil {
 			r.log.Error("request panicked", zap.String("request", decoder.RequestID(request.Header)),
@@ -127,14 +138,17 @@
 			w.WriteHeader(http.StatusBadGateway)
 		}
 	}()
-	r.serve(w, request, arrived)
+	r.serve(w, request, arrived, h)
 }
 
-func (r *Responder) serve(w http.ResponseWriter, request *http.Request, arrived time.Time) {
+func (r *Responder) serve(w http.ResponseWriter, request *http.Request, arrived time.Time, h hop) {
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	table := r.Directory.Table()
+	if r.refuseDelegated(w, request, arrived, table, h) {
+		return
+	}
 	if table == nil {
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "no configuration", noConfigurationRetry)
 		return
@@ -148,7 +162,7 @@
 		r.refuse(w, request, arrived, http.StatusRequestHeaderFieldsTooLarge, "head too large", 0)
 		return
 	}
-	deadline := r.deadline(request, route, arrived)
+	deadline := r.deadline(request, route, arrived.Add(h.Elapsed))
 	body, err := readBody(w, request, table.Limits.MaxBodyBytes, deadline)
 	if err != nil {
 		r.refuseBody(w, request, arrived, err)
@@ -165,16 +179,19 @@
 			zap.String("fingerprint", quarantiner.FormatFingerprint(fingerprint)), zap.Duration("remaining", remaining))
 		return
 	}
+	c := &call{
+		responder: r, table: table, route: route, services: services, arrived: arrived, hop: h,
+		id: decoder.RequestID(request.Header), deadline: deadline, body: body, fingerprint: fingerprint,
+	}
+	if r.passOnFirst(w, request, c) {
+		return
+	}
 	if overload, ok := r.admission.admit(arrived, route); !ok {
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "overload", retryAfterOverload(route.LatencyObjective),
 			overload.fields(route.Priority)...)
 		return
 	}
-	r.checkCut(arrived)
-	r.run(w, request, &call{
-		responder: r, table: table, route: route, services: services, arrived: arrived,
-		id: decoder.RequestID(request.Header), deadline: deadline, body: body, fingerprint: fingerprint,
-	})
+	r.run(w, request, c)
 }
 
 // noConfigurationRetry is the retry delay given to callers while the process has no
@@ -229,6 +246,12 @@
 	ctx, span := r.Spans.Start(request.Context(), "request", attribute.String("request", c.id), attribute.String("route", c.route.Name))
 	defer span.End()
 	decision := c.run(ctx, request)
+	if c.reachesNoTarget(decision) {
+		r.admission.ended(r.Timers.Now(), c.route, true)
+		if r.passOnUnsent(w, request, c) {
+			return
+		}
+	}
 	status := c.write(w, decision)
 	now := r.Timers.Now()
 	took := now.Sub(c.arrived)
--- a/entry/responder/responder_test.go
+++ b/entry/responder/responder_test.go
@@ -23,6 +23,7 @@
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/entry/courier"
+	"jackdawcart.org/entry/delegator"
 	"jackdawcart.org/entry/inspector"
 	"jackdawcart.org/entry/responder"
 	"jackdawcart.org/platform/standin"
@@ -91,6 +92,7 @@
 		Placer:    placer.New(placer.DefaultConfig(), "vm-1", "a", rand.New(rand.NewPCG(1, 2))),
 		Inspector: inspector.New(dial, timer.NewService(), tally.NoopScope, zap.NewNop()),
 		Detector:  diverter.NewDetector(),
+		Delegator: delegator.New(registrar.Member{Name: "vm-1", Domain: "a"}, dial, timer.NewService()),
 		OnVacated: func(string) {},
 	}, fx.scope, zap.NewNop())
 	return fx
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -26,6 +26,7 @@
 	"jackdawcart.org/entry/announcer"
 	"jackdawcart.org/entry/configurer"
 	"jackdawcart.org/entry/courier"
+	"jackdawcart.org/entry/delegator"
 	"jackdawcart.org/entry/follower"
 	"jackdawcart.org/entry/informer"
 	"jackdawcart.org/entry/inspector"
@@ -66,6 +67,7 @@
 	peerClient    *informer.Client
 	peerServer    *informer.Server
 	inspector     *inspector.Inspector
+	delegator     *delegator.Delegator
 	pools         *courier.Pools
 	responder     *responder.Responder
 	ready         *readiness
@@ -122,7 +124,10 @@
 	config.Domain = e.platform.Domain
 	e.state = follower.NewState(config.GracePeriod)
 	e.inspector = inspector.New(dial, e.timers, e.metrics.Scope, e.log)
-	self := registrar.Member{Name: e.platform.VM, Domain: e.platform.Domain, Address: e.port(e.own.PeerPort)}
+	self := registrar.Member{
+		Name: e.platform.VM, Domain: e.platform.Domain, Address: e.port(e.own.PeerPort), RequestAddress: e.port(e.own.RequestPort),
+	}
+	e.delegator = delegator.New(self, dial, e.timers)
 	peerConfig := informer.DefaultConfig()
 	e.peerClient = informer.NewClient(peerConfig, self, dial, e.store, e.placer, e.inspector, e.timers, e.countExchange, e.log)
 	e.peerServer = informer.NewServer(peerConfig, e.link, e.store, e.placer, e.inspector, e.timers, e.log)
@@ -166,7 +171,7 @@
 	config.Query.CallerTime = e.own.CallerTime
 	e.responder = responder.New(config, responder.Dependencies{
 		Domain: e.platform.Domain, Directory: e.state, Placer: e.placer, Pools: e.pools, Timers: e.timers, Spans: e.spans,
-		Inspector: e.inspector, Detector: diverter.NewDetector(), OnVacated: e.follower.Vacate,
+		Inspector: e.inspector, Detector: diverter.NewDetector(), Delegator: e.delegator, OnVacated: e.follower.Vacate,
 	}, e.metrics.Scope, e.log)
 	e.ready = &readiness{state: e.state}
 }
@@ -176,6 +181,7 @@
 
 func (e *entry) onEntryVMs(members []registrar.Member) {
 	e.peerClient.SetMembers(members)
+	e.delegator.SetMembers(members)
 	e.boundsMu.Lock()
 	defer e.boundsMu.Unlock()
 	e.bounds.EntryVMs = len(members)
@@ -299,7 +305,7 @@
 	running.Go(func() { e.peerServer.Serve(tasks, listener) })
 	for _, task := range []func(context.Context){
 		e.follower.Run, e.follower.SweepExpired, e.announcer.Run, e.watchFiles, e.peerServer.Exchange,
-		e.inspector.Run, e.publishReports,
+		e.inspector.Run, e.publishReports, e.responder.Probe,
 	} {
 		running.Go(func() { task(tasks) })
 	}
@@ -307,6 +313,7 @@
 	stop()
 	running.Wait()
 	e.peerClient.Close()
+	e.delegator.Close()
 	e.pools.Close()
 	e.timers.Close()
 	e.log.Info("stop", zap.Error(err))
--- a/entry/runner/serve.go
+++ b/entry/runner/serve.go
@@ -44,11 +44,20 @@
 	ready.Handle(decoder.ReadyPath, e.ready)
 	balancer := &http.Server{Handler: ready, ReadHeaderTimeout: time.Second}
 	metrics := &http.Server{Handler: e.metrics.Handler, ReadHeaderTimeout: time.Second}
-	failed := make(chan error, 3)
+	// delegated takes requests of callers that other VMs cannot serve.
+	delegated := &http.Server{
+		Handler: http.HandlerFunc(e.responder.ServeDelegated), ReadHeaderTimeout: delegatedHeaderTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(e.log), ConnState: busy.onState,
+	}
+	failed := make(chan error, 4)
 	running, err := startServer(callers, e.platform.CallerAddress, limits.Wrap, failed)
 	if err != nil {
 		return err
 	}
+	takingOver, err := startServer(delegated, e.port(e.own.RequestPort), noWrap, failed)
+	if err != nil {
+		return err
+	}
 	if _, err := startServer(balancer, e.platform.ReadinessAddress, noWrap, failed); err != nil {
 		return err
 	}
@@ -60,9 +69,12 @@
 		return err
 	case <-ctx.Done():
 	}
-	return e.shutdown(running, &busy, balancer, metrics)
+	return e.shutdown([]*runningServer{running, takingOver}, &busy, balancer, metrics)
 }
 
+// delegatedHeaderTimeout limits the time in which another VM sends the head of a request.
+const delegatedHeaderTimeout = time.Second
+
 // runningServer is an HTTP server with its listener.
 type runningServer struct {
 	*http.Server
@@ -94,7 +106,7 @@
 
 // shutdown fails the health checks so that the load balancer sends no new callers,
 // then stops accepting connections, and then waits for running requests.
-func (e *entry) shutdown(callers *runningServer, busy *busyConnections, balancer, metrics *http.Server) error {
+func (e *entry) shutdown(callers []*runningServer, busy *busyConnections, balancer, metrics *http.Server) error {
 	began := e.timers.Now()
 	e.log.Info("stopping", zap.Duration("grace", e.platform.ShutdownGrace))
 	e.ready.stop()
@@ -105,10 +117,15 @@
 	defer cancel()
 	// The server drops a request that it reads after the start of Shutdown without an
 	// answer, so the connections that have been accepted are served first.
-	err := callers.listener.Close()
-	<-callers.ended
+	var err error
+	for _, server := range callers {
+		err = errors.Join(err, server.listener.Close())
+		<-server.ended
+	}
 	busy.awaitIdle(ctx, e.timers)
-	err = errors.Join(err, callers.Shutdown(ctx))
+	for _, server := range callers {
+		err = errors.Join(err, server.Shutdown(ctx))
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		e.log.Warn("requests still running when the time to finish them ended", zap.Error(err))
 		err = nil
--- a/jackdawctl/commander/explainlog.go
+++ b/jackdawctl/commander/explainlog.go
@@ -73,9 +73,15 @@
 	for _, f := range explanation.Request.Fields {
 		line("  %s: %s", f.Name, strings.ReplaceAll(f.Value, "; ", "\n    "))
 	}
-	line("state changes on the VM in the 10 seconds before:")
+	if len(explanation.Hops) > 0 {
+		line("the request on other VMs:")
+		for _, l := range explanation.Hops {
+			line("  %s %s %s %s", formatTime(l.At), l.Node, l.Message, formatFields(l))
+		}
+	}
+	line("state changes on its VMs in the 10 seconds before:")
 	for _, l := range explanation.StateChanges {
-		line("  %s %s %s", formatTime(l.At), l.Message, formatFields(l))
+		line("  %s %s %s %s", formatTime(l.At), l.Node, l.Message, formatFields(l))
 	}
 	if len(explanation.EqualRequests) > 0 {
 		line("equal requests, and targets lost under them, on all VMs until then:")
--- a/jackdawctl/investigator/explanation.go
+++ b/jackdawctl/investigator/explanation.go
@@ -21,9 +21,12 @@
 
 // Explanation is what the logs hold about one request.
 type Explanation struct {
-	// Request is the log line of the request's end or refusal.
+	// Request is the log line of the request's end or refusal, on the VM that has served
+	// it, or else on the one that it was sent to.
 	Request Line
-	// StateChanges are the log lines of the same VM, shortly before the end, about the
+	// Hops are the other lines about the request, if one VM has passed it to another.
+	Hops []Line
+	// StateChanges are the log lines of the same VMs, shortly before the end, about the
 	// store, the configuration and the targets in the request's troubles.
 	StateChanges []Line `json:"Beliefs"`
 	// EqualRequests are the latest log lines of all VMs until the end about requests with
@@ -77,8 +80,8 @@
 	var explanation Explanation
 	var err error
 	explanation.Unreadable, err = scanLogs(openLogs, func(l Line) {
-		if (l.Message == messageEnded || l.Message == messageRefused) && l.Value(fieldRequest) == request {
-			explanation.Request = l
+		if rank(l) > 0 && l.Value(fieldRequest) == request {
+			explanation.addLine(l)
 		}
 	})
 	if err != nil {
@@ -87,7 +90,7 @@
 	if explanation.Request.At.IsZero() {
 		return Explanation{}, &Error{Op: "find", Kind: KindNotFound, Err: fmt.Errorf("no log line for the end or refusal of request %q", request)}
 	}
-	c := newCollector(explanation.Request)
+	c := newCollector(explanation.Request, explanation.Hops)
 	if _, err := scanLogs(openLogs, c.visit); err != nil {
 		return Explanation{}, err
 	}
@@ -96,6 +99,36 @@
 	return explanation, nil
 }
 
+// rank orders the lines about one request by how much they tell of its outcome; 0 means
+// that a line is about something else.
+func rank(l Line) int {
+	switch {
+	case l.Message == messageEnded:
+		return 4
+	case l.Message == messageDelegated:
+		return 3
+	case l.Message == messageRefused && l.Value(fieldForVM) == "":
+		return 2
+	case l.Message == messageRefused:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// addLine adds a line about the request.
+func (e *Explanation) addLine(l Line) {
+	switch {
+	case e.Request.At.IsZero():
+		e.Request = l
+	case rank(l) >= rank(e.Request):
+		e.Hops = append(e.Hops, e.Request)
+		e.Request = l
+	default:
+		e.Hops = append(e.Hops, l)
+	}
+}
+
 func scanLogs(openLogs Opener, visit func(Line)) (unreadable int, err error) {
 	r, err := openLogs()
 	if err != nil {
@@ -113,6 +146,8 @@
 // collector gathers the log lines that are relevant to a request.
 type collector struct {
 	request Line
+	// nodes holds the VMs that had to do with the request.
+	nodes map[string]bool
 	// overload is true for a request that was rejected before any target was asked. The
 	// targets that refused other requests at that time are relevant to it.
 	overload     bool
@@ -127,11 +162,15 @@
 	equalRequests []Line
 }
 
-func newCollector(request Line) *collector {
+func newCollector(request Line, hops []Line) *collector {
 	c := &collector{
 		request: request, overload: request.Message == messageRefused && request.Value(fieldReason) == reasonOverload,
 		limits: make(map[string]Line), targets: make(map[string]*Target), vmsByTarget: make(map[string]map[string]bool),
 	}
+	c.nodes = map[string]bool{request.Node: true}
+	for _, hop := range hops {
+		c.nodes[hop.Node] = true
+	}
 	for id := range outcomesByTarget(request) {
 		c.addTarget(id)
 	}
@@ -155,7 +194,7 @@
 		}
 	case c.isLimit(l):
 		c.limits[l.Value(fieldTarget)] = l
-	case l.Node != c.request.Node || l.At.After(c.request.At) || c.request.At.Sub(l.At) > stateChangeWindow:
+	case !c.nodes[l.Node] || l.At.After(c.request.At) || c.request.At.Sub(l.At) > stateChangeWindow:
 	case c.isRelevant(l):
 		c.stateChanges = append(c.stateChanges, l)
 	}
@@ -200,7 +239,7 @@
 	if target := l.Value(fieldTarget); target != "" {
 		return c.targets[target] != nil
 	}
-	return l.Message != messageRefused
+	return l.Message != messageRefused && l.Message != messageDelegated
 }
 
 // countOutcomes counts the troubles of another request at the relevant targets.
--- a/jackdawctl/investigator/explanation_test.go
+++ b/jackdawctl/investigator/explanation_test.go
@@ -55,6 +55,29 @@
 	}
 }
 
+// A request that one VM has passed to another must be explained from the lines of all VMs
+// that had to do with it, with the line of the VM that has served it first.
+func TestExplainDelegatedRequest(t *testing.T) {
+	const log = `ts=2026-03-03T10:00:20.000Z level=warn msg="cut off from all targets" node=vm-1
+ts=2026-03-03T10:00:20.100Z level=info msg="request delegated" node=vm-1 request=z vm=vm-3
+ts=2026-03-03T10:00:20.400Z level=info msg="request refused" node=vm-2 request=a for-vm=vm-1 reason="cut off from all targets"
+ts=2026-03-03T10:00:20.500Z level=info msg="request ended" node=vm-3 request=a for-vm=vm-1 verdict=whole troubles=
+ts=2026-03-03T10:00:20.501Z level=info msg="request delegated" node=vm-1 request=a vm=vm-3 asked=2
+`
+	explanation, err := investigator.Explain(func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader(log)), nil }, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range append([]investigator.Line{explanation.Request}, append(explanation.Hops, explanation.StateChanges...)...) {
+		got = append(got, l.Node+" "+l.Message)
+	}
+	want := []string{"vm-3 request ended", "vm-2 request refused", "vm-1 request delegated", "vm-1 cut off from all targets"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
+
 // An unknown request ID must be an error, not a request without troubles.
 func TestUnknownRequest(t *testing.T) {
 	_, err := investigator.Explain(openLogs, "z")
--- a/jackdawctl/investigator/line.go
+++ b/jackdawctl/investigator/line.go
@@ -23,6 +23,8 @@
 	// at the end of the request.
 	fieldTroubles = "troubles"
 	fieldReason   = "reason"
+	// fieldForVM names the VM that has passed a request on.
+	fieldForVM = "for-vm"
 	// fieldLimited counts the sub-requests for which the limits of targets left no room.
 	fieldLimited = "limited"
 	// fieldNamed tells whether a target names a limit.
@@ -34,7 +36,10 @@
 
 	messageEnded   = "request ended"
 	messageRefused = "request refused"
-	messageLimit   = "target limit"
+	// messageDelegated is logged by a VM that has passed a request to another one, and
+	// fieldForVM by VMs that were asked to take it.
+	messageDelegated = "request delegated"
+	messageLimit     = "target limit"
 
 	reasonOverload = "overload"
 	// outcomeRefused is the outcome of a sub-request that its target did not run.
