--- a/entry/responder/cut.go
+++ b/entry/responder/delegate.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -81,7 +79,7 @@
 // all targets or another one has served callers by a newer configuration. It reports whether
 // the request has been answered.
 func (r *Responder) passOnFirst(w http.ResponseWriter, request *http.Request, c *call) bool {
-	cutOff := r.checkCut(c.arrived)
+	cutOff := r.checkCut(r.Timers.Now())
 	switch {
 	case cutOff && c.hop.delegated:
 		r.refuseHop(w, request, c.arrived, c.hop, delegator.ReasonCutOff)
@@ -117,29 +115,6 @@
 	return false
 }
 
-// unreachablePeriod is how long requests on a route are not passed on after no VM reached
-// its targets.
-const unreachablePeriod = time.Second
-
-// unreachableRoutes holds the routes whose targets no VM reaches.
-type unreachableRoutes struct {
-	mu    sync.Mutex
-	until map[string]time.Time
-}
-
-func (u *unreachableRoutes) mayPassOn(now time.Time, route string) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return !now.Before(u.until[route])
-}
-
-func (u *unreachableRoutes) add(now time.Time, route string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	maps.DeleteFunc(u.until, func(_ string, until time.Time) bool { return !now.Before(until) })
-	u.until[route] = now.Add(unreachablePeriod)
-}
-
 // refuseHop answers that this VM cannot take a request of another one.
 func (r *Responder) refuseHop(w http.ResponseWriter, request *http.Request, arrived time.Time, h hop, reason string) {
 	delegator.SetUnavailable(w.Header(), reason)
@@ -207,49 +182,3 @@
 	}
 	return true
 }
-
-const (
-	// probePeriod is the interval between probes of targets during a cut.
-	probePeriod = 300 * time.Millisecond
-	// probeTimeout is how long the answer to a probe may take.
-	probeTimeout = 250 * time.Millisecond
-)
-
-// Probe asks one target after the other for its health during each cut, until one answers.
-// Nothing else is sent to targets then. It returns when the context ends.
-func (r *Responder) Probe(ctx context.Context) {
-	for {
-		select {
-		case <-r.cutBegan:
-		case <-ctx.Done():
-			return
-		}
-		for n := 0; r.checkCut(r.Timers.Now()); n++ {
-			r.probeTarget(n)
-			if !r.Timers.Sleep(ctx, probePeriod) {
-				return
-			}
-		}
-	}
-}
-
-// probeTarget asks the n-th of all targets in use for its health.
-func (r *Responder) probeTarget(n int) {
-	table := r.Directory.Table()
-	services := table.RoutedServices()
-	if len(services) == 0 {
-		return
-	}
-	service, _ := table.Service(services[n%len(services)])
-	targets := r.Directory.Targets(service.Name)
-	if len(targets) == 0 {
-		return
-	}
-	target := targets[n/len(services)%len(targets)]
-	now := r.Timers.Now()
-	pool := r.Pools.Pool(target.ID, target.Address, courier.Options{MaxOpen: r.Placer.Connections(service.MaxConnections)})
-	pool.Send(now, courier.Request{
-		Method: http.MethodGet, Deadline: now.Add(probeTimeout), MaxBodyBytes: r.config.MaxAnswerBytes, ToVM: true,
-		Head: func(time.Duration) []byte { return decoder.HealthCheck(service.HealthPath, target.Address) },
-	}, r.heard)
-}
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -118,13 +118,14 @@
 // to other entry VMs.
 func (r *Responder) Stop() { r.stopping.Store(true) }
 
-// ServeHTTP answers one request. A panic ends that request only; as targets may have
-// run it, its caller is not told that it has not run.
+// ServeHTTP answers one request of a caller.
 func (r *Responder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	delegator.RemoveHop(request.Header)
 	r.serveGuarded(w, request, hop{})
 }
 
+// serveGuarded answers one request. A panic ends that request only; as targets may have
+// run it, its caller is not told that it has not run.
 func (r *Responder) serveGuarded(w http.ResponseWriter, request *http.Request, h hop) {
 	arrived := r.Timers.Now().Add(-h.Elapsed)
 	defer func() {
