--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -116,6 +116,8 @@
 	if outcome.VM == "" || outcome.Reply.Err == nil {
 		t.Errorf("outcome %+v, want a lost request", outcome)
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if len(v.asked) != 1 {
 		t.Errorf("asked %v, want one VM", v.asked)
 	}
--- a/entry/runner/cut_test.go
+++ b/entry/runner/cut_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,3 +140,45 @@
 	}
 	return float64(served) / float64(servedRounds*len(kinds))
 }
+
+// A planned stop of a VM that takes the requests of one that is cut off must cut none of
+// them: they are answered, or passed to another VM.
+func TestPlannedStopOfVMThatTakesRequests(t *testing.T) {
+	const (
+		callers = 12
+		length  = 8 * time.Second
+	)
+	l := &links{proxies: make(map[string]*soak.Proxy)}
+	t.Cleanup(l.close)
+	fleet := newFleetWith(t, 3, func(i int, fx *fleet) http.Handler {
+		if i > 0 {
+			return fx.store
+		}
+		return fx.store.View(func(target string) string { return l.address(fx, target) })
+	})
+	l.set(soak.Impairment{DropAll: true}, true)
+	fleet.servedShare(t, 0, "before")
+	stopping := time.AfterFunc(length/4, func() { _ = fleet.vms[2].process.Signal(syscall.SIGTERM) })
+	defer stopping.Stop()
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	var running sync.WaitGroup
+	end := time.Now().Add(length)
+	for k := range callers {
+		running.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				status := fleet.do(t, 0, http.MethodPost, "/once/x", fmt.Sprintf("stop-%d-%d", k, n))
+				mu.Lock()
+				statuses[status]++
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	running.Wait()
+	t.Logf("answers by status: %v", statuses)
+	delete(statuses, http.StatusOK)
+	if len(statuses) > 0 {
+		t.Errorf("answers other than 200 by status: %v", statuses)
+	}
+}
