Poll other VMs for a bounded time before reading from the store

A VM that is cut off from the other VMs of its failure domain polled each one that ranks before it until its timeout, 200 ms each, before it read from the store itself: 8 s with 40 of them. Its configuration was that much older. The tests had domains of three VMs.

After 400 ms a VM reads for itself; the rest of the list has its turn at the next poll. TestManyUnreachableVMsDontDelay: three polls took 24.1 s before, below 2 s now.

--- a/entry/informer/client.go
+++ b/entry/informer/client.go
@@ -71,7 +71,11 @@
 	c.mu.Lock()
 	upstreams := c.upstreams
 	c.mu.Unlock()
+	began := c.timers.Now()
 	for i, m := range upstreams {
+		if c.timers.Now().Sub(began) >= c.config.MaxPollTime {
+			break
+		}
 		if c.timers.Now().Before(c.retryAt[m.Name]) {
 			continue
 		}
--- a/entry/informer/informer.go
+++ b/entry/informer/informer.go
@@ -24,6 +24,9 @@
 	AnswerMargin time.Duration
 	// DialTimeout bounds opening a connection within the failure domain.
 	DialTimeout time.Duration
+	// MaxPollTime is the time after which no further VM is polled, and this VM reads from the
+	// store itself. A VM that is cut off from the others would wait for each of them.
+	MaxPollTime time.Duration
 	// RetryDelay is the pause before a VM that did not answer is polled again.
 	RetryDelay time.Duration
 	// MaxStoreAge is the maximum age of the store's last answer at which a VM still
@@ -47,6 +50,7 @@
 		Wait:          250 * time.Millisecond,
 		AnswerMargin:  300 * time.Millisecond,
 		DialTimeout:   200 * time.Millisecond,
+		MaxPollTime:   400 * time.Millisecond,
 		RetryDelay:    2 * time.Second,
 		MaxStoreAge:   1700 * time.Millisecond,
 		ClientTimeout: 10 * time.Second,
--- a/entry/informer/informer_test.go
+++ b/entry/informer/informer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -386,3 +387,36 @@
 		})
 	}
 }
+
+// A VM that is cut off from the other VMs of its failure domain must soon read from the
+// store itself, however many of them rank before it: it tried one after the other, and each
+// attempt waited for its timeout.
+func TestManyUnreachableVMsDontDelay(t *testing.T) {
+	const others = 40
+	poller := newVM(t, "vm-1")
+	var members []registrar.Member
+	for i := 0; len(members) < others; i++ {
+		m := registrar.Member{Name: fmt.Sprintf("vm-%d", 2+i), Domain: "a", Address: netip.MustParseAddrPort("127.0.0.1:9")}
+		if len(informer.Upstreams(poller.member, []registrar.Member{m})) == 1 {
+			members = append(members, m)
+		}
+	}
+	timers := timer.NewService()
+	t.Cleanup(timers.Close)
+	hang := func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	client := informer.NewClient(informer.DefaultConfig(), poller.member, hang, poller.eras, poller.tracker, poller.reports, timers,
+		func(string) {}, zap.NewNop())
+	client.SetMembers(members)
+	start := time.Now()
+	for range 3 {
+		if _, ok := client.Watch(t.Context(), at(10)); ok {
+			t.Fatal("got an answer from an unreachable VM")
+		}
+	}
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("three polls took %v", took)
+	}
+}
