End holds of targets with the grace period of the outage

A VM that had been cut off from the store until 13.0 s learned of the end at 14.7 s and held the target for the grace period of 2.3 s from then, until 17.04 s. A neighbour that knew better passed it a request whose targets it could not reach.

The grace period is for targets that register again once the store is back, so it is counted from the end of the outage: what is missing then is gone.

TestHoldEndsWithTheOutagesGracePeriod fails with the former time.

--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -42,7 +42,7 @@
 func ExampleRegistry() {
 	registry := registrar.NewRegistry(time.Second)
 	fmt.Println(registry.Put(start, entry("i-1", 1)).Change)
-	fmt.Println(registry.Remove(start, "i-1", at(2), false).Change, len(registry.Targets("shard")))
+	fmt.Println(registry.Remove(start, "i-1", at(2), time.Time{}).Change, len(registry.Targets("shard")))
 	// Output:
 	// added
 	// removed 0
@@ -57,7 +57,7 @@
 	check(t, "change", registry.Vacate("i-1").Change, registrar.Vacated)
 	check(t, "again", registry.Vacate("i-1").Change, registrar.Unchanged)
 	check(t, "targets", targetIDs(registry), []string{"i-2"})
-	registry.Replace(start, []registrar.Entry{entry("i-1", 1), entry("i-2", 2)}, at(3), false)
+	registry.Replace(start, []registrar.Entry{entry("i-1", 1), entry("i-2", 2)}, at(3), time.Time{})
 	check(t, "same registration", targetIDs(registry), []string{"i-2"})
 	registry.Put(start, entry("i-1", 4))
 	check(t, "new registration", targetIDs(registry), []string{"i-1", "i-2"})
@@ -71,7 +71,7 @@
 	draining.Target.Draining = true
 	registry.Put(start, draining)
 	check(t, "older registration", registry.Put(start, entry("i-1", 3)).Change, registrar.Unchanged)
-	check(t, "older removal", registry.Remove(start, "i-1", at(4), false).Change, registrar.Unchanged)
+	check(t, "older removal", registry.Remove(start, "i-1", at(4), time.Time{}).Change, registrar.Unchanged)
 	check(t, "targets", len(targetIDs(registry)), 0)
 	check(t, "known", registry.Len(), 1)
 }
@@ -82,7 +82,7 @@
 	registry := registrar.NewRegistry(time.Second)
 	registry.Put(start, entry("i-1", 1))
 	registry.Put(start, entry("i-2", 1))
-	registry.Replace(start, nil, at(2), true)
+	registry.Replace(start, nil, at(2), start)
 	check(t, "held", targetIDs(registry), []string{"i-1", "i-2"})
 	registry.Put(start, entry("i-1", 3))
 	registry.Advance(start.Add(2 * time.Second))
@@ -141,8 +141,8 @@
 		known := entry("i-1", 60)
 		known.Target.Sequence = 7
 		registry.Put(start, known)
-		registry.Remove(start, "i-1", at(61), false)
-		registry.Replace(start, []registrar.Entry{restored("i-1", 50, 7)}, restored("", 50, 0).Position, true)
+		registry.Remove(start, "i-1", at(61), time.Time{})
+		registry.Replace(start, []registrar.Entry{restored("i-1", 50, 7)}, restored("", 50, 0).Position, start)
 		check(t, "right after the restore", len(targetIDs(registry)), 0)
 		return registry
 	}
@@ -156,7 +156,7 @@
 	check(t, "after probation", targetIDs(registry), []string{"i-1"})
 
 	registry = leave()
-	registry.Remove(start.Add(4*time.Second), "i-1", restored("", 52, 0).Position, true)
+	registry.Remove(start.Add(4*time.Second), "i-1", restored("", 52, 0).Position, start)
 	registry.Advance(start.Add(7 * time.Second))
 	check(t, "expired during probation", len(targetIDs(registry)), 0)
 }
@@ -165,7 +165,19 @@
 func TestRegistrationBeforeRemovalIsIgnored(t *testing.T) {
 	registry := registrar.NewRegistry(time.Second)
 	registry.Put(start, entry("i-1", 1))
-	registry.Remove(start, "i-1", at(5), false)
+	registry.Remove(start, "i-1", at(5), time.Time{})
 	check(t, "before the removal", registry.Put(start, entry("i-1", 4)).Change, registrar.Unchanged)
 	check(t, "after it", registry.Put(start, entry("i-1", 6)).Change, registrar.Added)
 }
+
+// A target whose registration ends shortly after an outage must not be held longer than
+// one whose lease ended during the outage: it may have left for good, and its requests must
+// end three seconds later.
+func TestHoldEndsWithTheOutagesGracePeriod(t *testing.T) {
+	registry := registrar.NewRegistry(2 * time.Second)
+	registry.Put(start, entry("i-1", 1))
+	outageEnd := start.Add(10 * time.Second)
+	check(t, "change", registry.Remove(outageEnd.Add(1900*time.Millisecond), "i-1", at(2), outageEnd).Change, registrar.Held)
+	registry.Advance(outageEnd.Add(2 * time.Second))
+	check(t, "targets after the grace period", len(targetIDs(registry)), 0)
+}
--- a/core/registrar/registry.go
+++ b/core/registrar/registry.go
@@ -68,7 +68,8 @@
 	// ColdUntil is the end of the target's cold start.
 	ColdUntil time.Time
 	// missingSince is set while the registration is missing after an outage of
-	// the store. The target counts as live until the grace period ends.
+	// the store, to the end of the outage. The target counts as live until the grace
+	// period after it ends.
 	missingSince time.Time
 	// vacated is set once another target answers at this target's address.
 	vacated bool
@@ -189,9 +190,9 @@
 }
 
 // Remove applies the end of a registration at a position. Shortly after an outage
-// of the store the lease may have expired although the target is live, so with
-// afterOutage set the target is held for the grace period, unless it is draining.
-func (r *Registry) Remove(now time.Time, id string, position sequencer.Position, afterOutage bool) Event {
+// of the store the lease may have expired although the target is live. Unless outageEnd is
+// the zero time, a target that is not draining is held until the grace period after it.
+func (r *Registry) Remove(now time.Time, id string, position sequencer.Position, outageEnd time.Time) Event {
 	if t, ok := r.tombstones[id]; ok {
 		t.restoredAt = time.Time{}
 	}
@@ -199,9 +200,9 @@
 	if !ok || known.Position.After(position) {
 		return Event{}
 	}
-	if afterOutage && !known.Draining {
+	if !outageEnd.IsZero() && !known.Draining {
 		if known.missingSince.IsZero() {
-			known.missingSince = now
+			known.missingSince = outageEnd
 		}
 		known.Position = position
 		return Event{Change: Held, Record: *known}
@@ -225,7 +226,7 @@
 
 // Replace applies a full listing of the registrations at a position. Targets that
 // are not listed are removed, or held for the grace period as in Remove.
-func (r *Registry) Replace(now time.Time, entries []Entry, position sequencer.Position, afterOutage bool) []Event {
+func (r *Registry) Replace(now time.Time, entries []Entry, position sequencer.Position, outageEnd time.Time) []Event {
 	var events []Event
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -238,7 +239,7 @@
 		if seen[id] || known.Position.After(position) || !known.missingSince.IsZero() {
 			continue
 		}
-		if event := r.Remove(now, id, position, afterOutage); event.Change != Unchanged {
+		if event := r.Remove(now, id, position, outageEnd); event.Change != Unchanged {
 			events = append(events, event)
 		}
 	}
--- a/core/supervisor/link.go
+++ b/core/supervisor/link.go
@@ -95,12 +95,20 @@
 	return l.lastOK
 }
 
-// AfterLongOutage reports whether the dependency is down, or recovered from a
-// long outage or a loss of data less than the given time ago.
-func (l *Link) AfterLongOutage(now time.Time, within time.Duration) bool {
+// LongOutageEnd returns when the dependency recovered from a long outage or lost data, if
+// that is less than the given time ago, or now while it is down. Otherwise it returns the
+// zero time.
+func (l *Link) LongOutageEnd(now time.Time, within time.Duration) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.up || (l.lastOutageLong && now.Sub(l.recoveredAt) < within)
+	switch {
+	case !l.up:
+		return now
+	case l.lastOutageLong && now.Sub(l.recoveredAt) < within:
+		return l.recoveredAt
+	default:
+		return time.Time{}
+	}
 }
 
 // WaitUp waits until the dependency is up. It returns false if the context is
--- a/core/supervisor/link_test.go
+++ b/core/supervisor/link_test.go
@@ -22,15 +22,15 @@
 	if outage, recovered := l.Succeeded(at(time.Second)); !recovered || outage != time.Second {
 		t.Fatalf("outage %v, recovered %v; want 1s, true", outage, recovered)
 	}
-	if l.AfterLongOutage(at(time.Second), time.Second) {
+	if !l.LongOutageEnd(at(time.Second), time.Second).IsZero() {
 		t.Fatal("an outage of one second counts as long, want at least two seconds")
 	}
 	l.Failed()
-	if !l.AfterLongOutage(at(2*time.Second), time.Second) {
+	if l.LongOutageEnd(at(2*time.Second), time.Second).IsZero() {
 		t.Fatal("an outage in progress must count")
 	}
 	l.Succeeded(at(5 * time.Second))
-	if !l.AfterLongOutage(at(5500*time.Millisecond), time.Second) || l.AfterLongOutage(at(7*time.Second), time.Second) {
+	if l.LongOutageEnd(at(5500*time.Millisecond), time.Second).IsZero() || !l.LongOutageEnd(at(7*time.Second), time.Second).IsZero() {
 		t.Fatal("a long outage must count for one second after its end")
 	}
 }
@@ -63,11 +63,11 @@
 	l := supervisor.NewLink(start, time.Second)
 	l.Failed()
 	l.Succeeded(at(500 * time.Millisecond))
-	if l.AfterLongOutage(at(600*time.Millisecond), time.Second) {
+	if !l.LongOutageEnd(at(600*time.Millisecond), time.Second).IsZero() {
 		t.Error("a short outage counts as a long one")
 	}
 	l.LostData(at(600 * time.Millisecond))
-	if !l.AfterLongOutage(at(1500*time.Millisecond), time.Second) || l.AfterLongOutage(at(1600*time.Millisecond), time.Second) {
+	if l.LongOutageEnd(at(1500*time.Millisecond), time.Second).IsZero() || !l.LongOutageEnd(at(1600*time.Millisecond), time.Second).IsZero() {
 		t.Error("the loss of data must count for one second")
 	}
 }
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -284,10 +284,10 @@
 			entries = append(entries, e)
 		}
 	}
-	afterOutage := f.link.AfterLongOutage(now, f.config.GracePeriod)
+	outageEnd := f.link.LongOutageEnd(now, f.config.GracePeriod)
 	var events []registrar.Event
 	first := f.state.TargetCount() == 0
-	f.state.updateRegistry(func(r *registrar.Registry) { events = r.Replace(now, entries, listing.Position, afterOutage) })
+	f.state.updateRegistry(func(r *registrar.Registry) { events = r.Replace(now, entries, listing.Position, outageEnd) })
 	if first {
 		f.log.Info("registrations read", zap.Int("targets", len(events)), zap.Uint64("revision", listing.Position.Revision))
 		f.notify(zapcore.DebugLevel, events)
@@ -298,7 +298,7 @@
 
 func (f *Follower) applyTargetChanges(listing storer.Listing) {
 	now := f.timers.Now()
-	afterOutage := f.link.AfterLongOutage(now, f.config.GracePeriod)
+	outageEnd := f.link.LongOutageEnd(now, f.config.GracePeriod)
 	var events []registrar.Event
 	for _, item := range listing.Items {
 		id, ok := decoder.TargetID(item.Key)
@@ -307,7 +307,7 @@
 		}
 		position := sequencer.Position{Era: listing.Position.Era, Revision: item.Revision}
 		if item.Gone {
-			f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, position, afterOutage)) })
+			f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, position, outageEnd)) })
 			continue
 		}
 		if e, ok := f.entry(position.Era, item); ok {
@@ -315,7 +315,7 @@
 			continue
 		}
 		// The new value is not a valid registration, so the target is gone.
-		f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, position, false)) })
+		f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, position, time.Time{})) })
 	}
 	f.notify(zapcore.InfoLevel, events)
 }
