Pass no requests on whose targets have left

Registrations are the same for all VMs, so another VM can only know less of targets that have left; only registered targets that this VM does not reach are a reason to ask another one.

TestRequestOfTargetsThatLeftIsNotPassedOn failed before (passed on 2 times, want 1).

--- a/entry/responder/delegate.go
+++ b/entry/responder/delegate.go
@@ -98,14 +98,14 @@
 
 // passOnUnsent passes a request on that has not run, because this VM reaches too few of its
 // targets. It reports whether the request has been answered. While the other VMs do not
-// reach them either, requests on the route are not passed on.
+// reach them either, or the targets have left, requests on the route are not passed on.
 func (r *Responder) passOnUnsent(w http.ResponseWriter, request *http.Request, c *call) bool {
 	if c.hop.delegated {
 		r.refuseHop(w, request, c.arrived, c.hop, delegator.ReasonUnreachable)
 		return true
 	}
 	now := r.Timers.Now()
-	if !r.unreachable.mayPassOn(now, c.route.Name) {
+	if !c.hasTargets() || !r.unreachable.mayPassOn(now, c.route.Name) {
 		return false
 	}
 	if r.delegate(w, request, c, delegator.ReasonUnreachable) {
@@ -115,6 +115,18 @@
 	return false
 }
 
+// hasTargets reports whether enough services of the request have registered targets for an
+// answer. If they have left, a VM that still uses them only knows less.
+func (c *call) hasTargets() bool {
+	n := 0
+	for _, service := range c.services {
+		if len(c.responder.Directory.Targets(service)) > 0 {
+			n++
+		}
+	}
+	return n > 0 && float64(n) >= c.route.MinShardShare*float64(len(c.services))
+}
+
 // refuseHop answers that this VM cannot take a request of another one.
 func (r *Responder) refuseHop(w http.ResponseWriter, request *http.Request, arrived time.Time, h hop, reason string) {
 	delegator.SetUnavailable(w.Header(), reason)
--- a/entry/responder/delegate_test.go
+++ b/entry/responder/delegate_test.go
@@ -1,12 +1,14 @@
 package responder_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
+	"jackdawcart.org/entry/delegator"
 	"jackdawcart.org/platform/standin"
 )
 
@@ -85,3 +87,30 @@
 		t.Errorf("refused after %v", took)
 	}
 }
+
+// countingDelegator counts the requests that are passed on.
+type countingDelegator struct{ asked int }
+
+func (d *countingDelegator) Delegate(context.Context, delegator.Request, time.Duration) delegator.Outcome {
+	d.asked++
+	return delegator.Outcome{}
+}
+
+func (d *countingDelegator) Version() int64 { return 0 }
+
+// A request whose targets have left must be refused and not reach them through a VM that
+// does not know it yet. One whose targets are only unreachable is passed on.
+func TestRequestOfTargetsThatLeftIsNotPassedOn(t *testing.T) {
+	fx := newFixtureWithObjective(t, 4, 900*time.Millisecond)
+	d := &countingDelegator{}
+	fx.Delegator = d
+	for _, record := range fx.directory.targets["plain"] {
+		fx.Placer.SetReachable(record.ID, false)
+	}
+	check(t, "unreachable", fx.do(http.MethodGet, "/often/q", "r1", "").Code, http.StatusServiceUnavailable)
+	check(t, "passed on", d.asked, 1)
+	time.Sleep(1100 * time.Millisecond)
+	fx.directory.targets["plain"] = nil
+	check(t, "left", fx.do(http.MethodGet, "/often/q", "r2", "").Code, http.StatusServiceUnavailable)
+	check(t, "passed on after they left", d.asked, 1)
+}
