Use one piece of code where the change wrote the same twice

- courier: Abandon and Cancel end a queued request through endQueued; readAnswer has one return.
AnyAnswer replaces ToVM, which health checks of targets set as well.
- storer.Listing.PositionOf replaces three ways to build the position of an item.

--- a/entry/courier/answer.go
+++ b/entry/courier/answer.go
@@ -190,10 +190,9 @@
 		if id := reply.Answer.RequestID; id != "" && id != e.request.RequestID {
 			continue
 		}
-		if e.request.ToVM {
-			return reply, !response.Close && c.buffer.Buffered() == 0
+		if !e.request.AnyAnswer {
+			reply.Result, reply.Err = classify(reply)
 		}
-		reply.Result, reply.Err = classify(reply)
 		return reply, !response.Close && c.buffer.Buffered() == 0
 	}
 	return errorReply(errors.New("answers to other requests only")), false
--- a/entry/courier/exchange.go
+++ b/entry/courier/exchange.go
@@ -26,8 +26,9 @@
 	Deadline time.Time
 	// MaxBodyBytes limits the body of the answer.
 	MaxBodyBytes int64
-	// ToVM is set for a request to another entry VM, whose answer is final as it is.
-	ToVM bool
+	// AnyAnswer is set if every complete answer counts as answered, as that of another
+	// entry VM or to a health check does. Others need a signature and no failure.
+	AnyAnswer bool
 }
 
 // Reply is the outcome of a sub-request.
@@ -77,26 +78,22 @@
 // that is in flight has the grace period left to be answered, which keeps the
 // connection reusable; after that the connection is closed.
 func (e *Exchange) Abandon(now time.Time, grace time.Duration) {
-	p := e.pool
-	p.mu.Lock()
-	switch e.state {
-	case queued:
-		p.removeQueued(e)
-		e.state = ended
-		p.mu.Unlock()
-		e.done(Reply{Result: placer.Abandoned})
+	if e.endQueued(Reply{Result: placer.Abandoned}) {
 		return
-	case writing, reading:
-		if end := now.Add(grace); end.Before(e.request.Deadline) {
-			e.conn.setReadDeadline(end)
-		}
-	case ended:
 	}
-	p.mu.Unlock()
+	e.pool.mu.Lock()
+	defer e.pool.mu.Unlock()
+	if end := now.Add(grace); e.state != ended && end.Before(e.request.Deadline) {
+		e.conn.setReadDeadline(end)
+	}
 }
 
-// Cancel ends a request that has not been sent yet, and reports whether it did.
-func (e *Exchange) Cancel() bool {
+// Cancel ends a request that has not been sent yet.
+func (e *Exchange) Cancel() { e.endQueued(Reply{Result: placer.Unsent, Err: errCancelled}) }
+
+// endQueued ends a request that has not been sent yet with a reply, and reports whether it
+// did.
+func (e *Exchange) endQueued(reply Reply) bool {
 	p := e.pool
 	p.mu.Lock()
 	if e.state != queued {
@@ -106,7 +103,7 @@
 	p.removeQueued(e)
 	e.state = ended
 	p.mu.Unlock()
-	e.done(Reply{Result: placer.Unsent, Err: errCancelled})
+	e.done(reply)
 	return true
 }
 
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -134,7 +134,7 @@
 	hop := Hop{VM: d.self.Name, MinVersion: max(r.Version, d.Version()), Elapsed: d.timers.Now().Sub(r.Arrived)}
 	pool := d.pools.Pool(m.Name, m.RequestAddress, courier.Options{MaxOpen: maxConnections, IdleTimeout: idleTimeout})
 	exchange := pool.Send(d.timers.Now(), courier.Request{
-		Method: r.Method, RequestID: r.ID, Body: r.Body, Deadline: r.Deadline, MaxBodyBytes: r.MaxBodyBytes, ToVM: true,
+		Method: r.Method, RequestID: r.ID, Body: r.Body, Deadline: r.Deadline, MaxBodyBytes: r.MaxBodyBytes, AnyAnswer: true,
 		Head: func(left time.Duration) []byte { return r.Head(hop.header(), left) },
 	}, func(got courier.Reply) { replies <- got })
 	connect := d.timers.After(connectTimeout)
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -280,7 +280,7 @@
 	now := f.timers.Now()
 	entries := make([]registrar.Entry, 0, len(listing.Items))
 	for _, item := range listing.Items {
-		if e, ok := f.entry(listing.Position.Era, item); ok {
+		if e, ok := f.entry(listing.PositionOf(item), item); ok {
 			entries = append(entries, e)
 		}
 	}
@@ -305,12 +305,12 @@
 		if !ok {
 			continue
 		}
-		position := sequencer.Position{Era: listing.Position.Era, Revision: item.Revision}
+		position := listing.PositionOf(item)
 		if item.Gone {
 			f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, position, outageEnd)) })
 			continue
 		}
-		if e, ok := f.entry(position.Era, item); ok {
+		if e, ok := f.entry(position, item); ok {
 			f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Put(now, e)) })
 			continue
 		}
@@ -320,7 +320,7 @@
 	f.notify(zapcore.InfoLevel, events)
 }
 
-func (f *Follower) entry(era uint64, item storer.Item) (registrar.Entry, bool) {
+func (f *Follower) entry(position sequencer.Position, item storer.Item) (registrar.Entry, bool) {
 	id, ok := decoder.TargetID(item.Key)
 	if !ok {
 		return registrar.Entry{}, false
@@ -330,7 +330,7 @@
 		f.log.Warn("registration is invalid", zap.String("target", id), zap.Error(err))
 		return registrar.Entry{}, false
 	}
-	return registrar.Entry{Position: sequencer.Position{Era: era, Revision: item.Revision}, Target: target}, true
+	return registrar.Entry{Position: position, Target: target}, true
 }
 
 // notify logs changes of targets and passes them on. An update changes neither where a
--- a/entry/responder/probe.go
+++ b/entry/responder/probe.go
@@ -50,7 +50,7 @@
 	now := r.Timers.Now()
 	pool := r.Pools.Pool(target.ID, target.Address, courier.Options{MaxOpen: r.Placer.Connections(service.MaxConnections)})
 	pool.Send(now, courier.Request{
-		Method: http.MethodGet, Deadline: now.Add(probeTimeout), MaxBodyBytes: r.config.MaxAnswerBytes, ToVM: true,
+		Method: http.MethodGet, Deadline: now.Add(probeTimeout), MaxBodyBytes: r.config.MaxAnswerBytes, AnyAnswer: true,
 		Head: func(time.Duration) []byte { return decoder.HealthCheck(service.HealthPath, target.Address) },
 	}, r.heard)
 }
--- a/entry/runner/cut_test.go
+++ b/entry/runner/cut_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -51,20 +53,33 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cut = impairment
-	for _, proxy := range l.proxies {
-		proxy.Set(impairment)
-		if reset {
-			proxy.Reset()
-		}
+	all := l.all()
+	all.Set(impairment)
+	if reset {
+		all.Reset()
 	}
 }
 
+// all returns the proxies of the links. The caller holds mu.
+func (l *links) all() soak.Proxies { return slices.Collect(maps.Values(l.proxies)) }
+
 func (l *links) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, proxy := range l.proxies {
-		proxy.Close()
-	}
+	l.all().Close()
+}
+
+// newFleetWithLinks returns a fleet of three VMs and the links of the first one.
+func newFleetWithLinks(t *testing.T) (*fleet, *links) {
+	t.Helper()
+	l := &links{proxies: make(map[string]*soak.Proxy)}
+	t.Cleanup(l.close)
+	return newFleetWith(t, 3, func(i int, fx *fleet) http.Handler {
+		if i > 0 {
+			return fx.store
+		}
+		return fx.store.View(func(target string) string { return l.address(fx, target) })
+	}), l
 }
 
 // A VM that had lost its links to all targets refused every request, although the VMs
@@ -78,14 +93,7 @@
 		"refused": {impairment: soak.Impairment{Refuse: true}, reset: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := &links{proxies: make(map[string]*soak.Proxy)}
-			t.Cleanup(l.close)
-			fleet := newFleetWith(t, 3, func(i int, fx *fleet) http.Handler {
-				if i > 0 {
-					return fx.store
-				}
-				return fx.store.View(func(target string) string { return l.address(fx, target) })
-			})
+			fleet, l := newFleetWithLinks(t)
 			if share := fleet.servedShare(t, 0, "before"); share < 1 {
 				t.Fatalf("%.2f of the requests are served before the cut", share)
 			}
@@ -148,14 +156,7 @@
 		callers = 12
 		length  = 8 * time.Second
 	)
-	l := &links{proxies: make(map[string]*soak.Proxy)}
-	t.Cleanup(l.close)
-	fleet := newFleetWith(t, 3, func(i int, fx *fleet) http.Handler {
-		if i > 0 {
-			return fx.store
-		}
-		return fx.store.View(func(target string) string { return l.address(fx, target) })
-	})
+	fleet, l := newFleetWithLinks(t)
 	l.set(soak.Impairment{DropAll: true}, true)
 	fleet.servedShare(t, 0, "before")
 	stopping := time.AfterFunc(length/4, func() { _ = fleet.vms[2].process.Signal(syscall.SIGTERM) })
