Log which completed run ends a suspicion

A line told only of quarantines that a completed run ended. Whether the answer of one shard acquits a request that crashes others was not to be seen: the suspicion ended without a trace.

--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -85,11 +85,13 @@
 }
 
 // Completed records that a target has run a request to its end.
-func (i *Inspector) Completed(fingerprint uint64) {
+func (i *Inspector) Completed(target registrar.Record, fingerprint uint64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.timers.Now()
 	if i.state.Suspected(fingerprint) {
+		i.log.Info("suspicion ended by a completed run", zap.String("fingerprint", quarantiner.FormatFingerprint(fingerprint)),
+			zap.String("target", target.ID), zap.String("service", target.Service))
 		i.setActive(now)
 	}
 	i.state.Completed(now, fingerprint)
--- a/entry/inspector/inspector_test.go
+++ b/entry/inspector/inspector_test.go
@@ -171,10 +171,10 @@
 			vms[0].Broke(target(id), popular)
 		}
 		time.Sleep(100 * time.Millisecond)
-		vms[0].Completed(bystander)
+		vms[0].Completed(target("t9"), bystander)
 		for range 4 {
 			time.Sleep(500 * time.Millisecond)
-			vms[1].Completed(popular)
+			vms[1].Completed(target("t9"), popular)
 		}
 		time.Sleep(4 * time.Second)
 		for k, i := range vms {
@@ -278,7 +278,7 @@
 		vms[0].Broke(target("t2"), poison)
 		time.Sleep(5 * time.Second)
 		backup := s.all()
-		vms[1].Completed(poison)
+		vms[1].Completed(target("t9"), poison)
 		time.Sleep(5 * time.Second)
 		s.restore(backup)
 		time.Sleep(5 * time.Second)
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -170,7 +170,7 @@
 			broken.Store(true)
 			r.Inspector.Broke(record, fingerprint)
 		case got.Result == placer.Answered && completed.CompareAndSwap(false, true):
-			r.Inspector.Completed(fingerprint)
+			r.Inspector.Completed(record, fingerprint)
 		}
 		replies <- &reply{shard: s.Shard, attempt: s.Attempt, target: record.ID, reply: got}
 	})
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -38,7 +38,7 @@
 	// Quarantined returns how long a request must not be sent to targets, zero if it may.
 	Quarantined(fingerprint uint64) time.Duration
 	// Completed records that a target has run a request to its end.
-	Completed(fingerprint uint64)
+	Completed(target registrar.Record, fingerprint uint64)
 	// Broke records that the connection to a target ended while it may have run a request.
 	Broke(target registrar.Record, fingerprint uint64)
 }
