--- a/entry/runner/fleet_test.go
+++ b/entry/runner/fleet_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +16,9 @@
 	"jackdawcart.org/platform/standin"
 )
 
+// callerDeadline is how long callers wait for an answer.
+const callerDeadline = 1500 * time.Millisecond
+
 // Size of a fleet.
 const (
 	shardCount         = 4
@@ -35,11 +40,11 @@
 	store  *standin.Store
 	vms    []*vm
 
-	mu         sync.Mutex
-	targets    []*standin.Target
-	poisonPath string
-	crashCount int
-	stopped    bool
+	mu      sync.Mutex
+	targets []*standin.Target
+	poison  standin.Poison
+	crashes []time.Time
+	stopped bool
 }
 
 type vm struct {
@@ -172,36 +177,44 @@
 		return
 	}
 	fx.targets = append(fx.targets, target)
-	target.CrashOn(fx.poisonPath, func() { fx.restartTarget(target, replica) })
+	target.CrashOn(fx.poison, func() { fx.restartTarget(target, replica) })
 	fx.store.Register(target, target.Address(), domain(replica))
 }
 
 // restartTarget starts a new incarnation at the address of a crashed target.
 func (fx *fleet) restartTarget(crashed *standin.Target, replica int) {
 	fx.mu.Lock()
-	fx.crashCount++
-	n := fx.crashCount
+	fx.crashes = append(fx.crashes, time.Now())
+	n := len(fx.crashes)
 	fx.mu.Unlock()
 	time.Sleep(restartDelay)
 	fx.store.Unregister(crashed.ID)
 	fx.startTarget(crashed.Address(), fmt.Sprintf("i-restarted-%d", n), crashed.Service, replica)
 }
 
-// crashOn makes all targets crash when they run a request with the path.
-func (fx *fleet) crashOn(path string) {
+// crashOn makes targets crash under requests.
+func (fx *fleet) crashOn(poison standin.Poison) {
 	fx.mu.Lock()
 	defer fx.mu.Unlock()
-	fx.poisonPath = path
+	fx.poison = poison
 	for _, target := range fx.targets {
 		replica := int(target.ID[len(target.ID)-1] - '0')
-		target.CrashOn(path, func() { fx.restartTarget(target, replica) })
+		target.CrashOn(poison, func() { fx.restartTarget(target, replica) })
 	}
 }
 
-func (fx *fleet) crashes() int {
+// crashTimes returns when targets crashed.
+func (fx *fleet) crashTimes() []time.Time {
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+	return slices.Clone(fx.crashes)
+}
+
+// ran reports whether a target ran a request.
+func (fx *fleet) ran(id string) bool {
 	fx.mu.Lock()
 	defer fx.mu.Unlock()
-	return fx.crashCount
+	return slices.ContainsFunc(fx.targets, func(t *standin.Target) bool { return t.Runs(id) > 0 })
 }
 
 func (fx *fleet) stopTargets() {
@@ -229,7 +242,7 @@
 	}
 	request.Host = "x.example"
 	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "1500")
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatal(err)
--- a/entry/runner/poison_test.go
+++ b/entry/runner/poison_test.go
@@ -31,16 +31,16 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			fleet := newFleet(t, 3)
-			fleet.crashOn(c.path)
+			fleet.crashOn(standin.Poison{Path: c.path})
 			for i := range c.attempts {
 				fleet.do(t, i, c.method, c.path, fmt.Sprintf("first-%d", i))
 				time.Sleep(restartDelay)
 			}
-			if n := fleet.crashes(); n < 3 {
+			if n := len(fleet.crashTimes()); n < 3 {
 				t.Fatalf("%d targets crashed, want 3 at least", n)
 			}
 			time.Sleep(stabilityWindow)
-			before := fleet.crashes()
+			before := len(fleet.crashTimes())
 			fleet.restart(t, 2)
 			for i := range fleet.vms {
 				if status := fleet.do(t, i, c.method, c.path, fmt.Sprintf("late-%d", i)); status != http.StatusServiceUnavailable {
@@ -51,9 +51,81 @@
 					t.Errorf("VM %d answered another request with %d, want 200", i, status)
 				}
 			}
-			if late := fleet.crashes() - before; late > maxLateRuns {
+			if late := len(fleet.crashTimes()) - before; late > maxLateRuns {
 				t.Errorf("the poison request ran %d times later than %v after the third crash, want at most %d", late, stabilityWindow, maxLateRuns)
 			}
 		})
 	}
 }
+
+// poisonInterval is the pause between two copies of a poison request.
+const poisonInterval = 500 * time.Millisecond
+
+// repeatPoison sends equal requests to the VMs in turn, each one after the answer to the one
+// before, and returns when each one was sent.
+func repeatPoison(t *testing.T, fx *fleet, method, path string, length time.Duration) map[string]time.Time {
+	t.Helper()
+	sent := make(map[string]time.Time)
+	for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
+		id := fmt.Sprintf("poison-%d", i)
+		sent[id] = time.Now()
+		fx.do(t, i%len(fx.vms), method, path, id)
+		time.Sleep(poisonInterval)
+	}
+	return sent
+}
+
+// checkPoisonStops checks that a poison request was seen to crash targets, and that few
+// copies reached any target, or crashed one, later than the stability window after the third
+// crash.
+func checkPoisonStops(t *testing.T, fx *fleet, sent map[string]time.Time) {
+	t.Helper()
+	crashes := fx.crashTimes()
+	if len(crashes) < 3 {
+		t.Fatalf("%d targets crashed, want 3 at least", len(crashes))
+	}
+	settled := crashes[2].Add(stabilityWindow)
+	lateCrashes, lateRuns := 0, 0
+	for _, at := range crashes {
+		if at.After(settled) {
+			lateCrashes++
+		}
+	}
+	for id, at := range sent {
+		if at.After(settled) && fx.ran(id) {
+			lateRuns++
+		}
+	}
+	t.Logf("%d targets crashed, %d of them late; %d of %d copies ran late", len(crashes), lateCrashes, lateRuns, len(sent))
+	if lateCrashes > maxLateRuns || lateRuns > maxLateRuns {
+		t.Errorf("later than %v after the third crash, %d copies ran and %d targets crashed, want at most %d", stabilityWindow, lateRuns, lateCrashes, maxLateRuns)
+	}
+}
+
+// A request that crashed the targets of some shards was cleared by the answers of the others
+// each time it came.
+func TestRequestThatCrashesSomeShards(t *testing.T) {
+	for _, services := range [][]string{{"shard-0"}, {"shard-0", "shard-2"}} {
+		t.Run(fmt.Sprintf("%d of %d", len(services), shardCount), func(t *testing.T) {
+			fleet := newFleet(t, 3)
+			fleet.crashOn(standin.Poison{Path: "/all/poison", Services: services})
+			checkPoisonStops(t, fleet, repeatPoison(t, fleet, http.MethodGet, "/all/poison", 3*stabilityWindow))
+		})
+	}
+}
+
+// A request whose target crashed after the request had been given up was never suspected.
+func TestTargetCrashesAfterDeadline(t *testing.T) {
+	cases := []struct{ name, method, path string }{
+		{"gathered", http.MethodGet, "/all/poison"},
+		{"plain", http.MethodGet, "/often/poison"},
+		{"not idempotent", http.MethodPost, "/once/poison"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fleet := newFleet(t, 3)
+			fleet.crashOn(standin.Poison{Path: c.path, After: callerDeadline + 300*time.Millisecond})
+			checkPoisonStops(t, fleet, repeatPoison(t, fleet, c.method, c.path, 6*stabilityWindow))
+		})
+	}
+}
