Judge requests that crash targets by the shard they ran at

Callers of a request that crashes the targets of one shard got 200 in part or 502, and each copy of it ended more targets, for ever.

Cause: a completed run cleared the whole request. Answers of the other shards discounted each loss, on the VM that saw it and, as clearances in the store, on all others. relay/inspector did the same by job.

Losses, completions and clearances now name the part of the index where the run took place (service on entry VMs, service and shard on relays). The quarantine still holds for the request. Reports without parts, from VMs of earlier versions or written by hand, concern all parts; earlier versions ignore the new fields and the value of the store's keys.

A completed run of each part is recorded now, one lock and one map entry for each sub-request.

--- a/core/quarantiner/broken.go
+++ b/core/quarantiner/broken.go
@@ -12,34 +12,34 @@
 	lossWindow = 100 * time.Millisecond
 )
 
-// BrokenRequests holds the fingerprints of the requests whose connection to a target
+// BrokenRequests holds the requests whose connection to a target
 // broke, until the target has been probed. It is not safe for concurrent use.
 type BrokenRequests struct {
-	byTarget map[string]map[uint64]time.Time
+	byTarget map[string]map[Run]time.Time
 }
 
 // Add records a broken request and reports whether it is the first one since the last
 // Take for the target, which must then be probed.
-func (b *BrokenRequests) Add(now time.Time, target string, fingerprint uint64) bool {
+func (b *BrokenRequests) Add(now time.Time, target string, run Run) bool {
 	if b.byTarget == nil {
-		b.byTarget = make(map[string]map[uint64]time.Time)
+		b.byTarget = make(map[string]map[Run]time.Time)
 	}
 	_, known := b.byTarget[target]
 	if !known {
-		b.byTarget[target] = make(map[uint64]time.Time)
+		b.byTarget[target] = make(map[Run]time.Time)
 	}
-	b.byTarget[target][fingerprint] = now
+	b.byTarget[target][run] = now
 	return !known
 }
 
-// Take removes the requests of a target and returns the fingerprints of the recent ones.
-func (b *BrokenRequests) Take(now time.Time, target string) []uint64 {
-	var fingerprints []uint64
-	for fingerprint, at := range b.byTarget[target] {
+// Take removes the requests of a target and returns the recent ones.
+func (b *BrokenRequests) Take(now time.Time, target string) []Run {
+	var runs []Run
+	for run, at := range b.byTarget[target] {
 		if now.Sub(at) <= lossWindow {
-			fingerprints = append(fingerprints, fingerprint)
+			runs = append(runs, run)
 		}
 	}
 	delete(b.byTarget, target)
-	return fingerprints
+	return runs
 }
--- a/core/quarantiner/completions.go
+++ b/core/quarantiner/completions.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// completions remembers completions for one to two grace periods. It keeps
+// completions remembers completed runs for one to two grace periods. It keeps
 // two generations of entries and drops a whole generation at a time, which
 // avoids work for each expired completion.
 type completions struct {
@@ -10,22 +10,24 @@
 	rotatedAt         time.Time
 }
 
-func (c *completions) add(now time.Time, fingerprint uint64, grace time.Duration, limit int) {
+func (c *completions) add(now time.Time, run Run, grace time.Duration, limit int) {
 	if c.current == nil || now.Sub(c.rotatedAt) >= grace {
 		c.previous, c.current = c.current, make(map[uint64]time.Time)
 		c.rotatedAt = now
 	}
-	if _, known := c.current[fingerprint]; known || len(c.current) < limit {
-		c.current[fingerprint] = now
+	key := run.hash()
+	if _, known := c.current[key]; known || len(c.current) < limit {
+		c.current[key] = now
 	}
 }
 
-// within reports whether the fingerprint completed no more than one grace
-// period before the given time.
-func (c *completions) within(at time.Time, fingerprint uint64, grace time.Duration) bool {
-	completedAt, ok := c.current[fingerprint]
+// within reports whether the run completed no more than one grace period before
+// the given time.
+func (c *completions) within(at time.Time, run Run, grace time.Duration) bool {
+	key := run.hash()
+	completedAt, ok := c.current[key]
 	if !ok {
-		completedAt, ok = c.previous[fingerprint]
+		completedAt, ok = c.previous[key]
 	}
 	return ok && at.Sub(completedAt) <= grace
 }
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -12,6 +12,9 @@
 	Fingerprint uint64
 	Remaining   time.Duration
 	LostTargets int
+	// Parts are those where targets were lost or, in a clearance, where runs have
+	// completed. Without any, the entry concerns all parts.
+	Parts []string
 }
 
 // Quarantiner tracks suspected and quarantined fingerprints.
@@ -20,12 +23,16 @@
 	suspects          map[uint64]*suspect
 	entries           map[uint64]entry
 	completions       completions
-	pendingClearances map[uint64]struct{}
+	pendingClearances map[Run]struct{}
 }
 
 type entry struct {
 	until       time.Time
 	lostTargets int
+	// parts are those where targets were lost, nil if that is not known.
+	parts []string
+	// observed is set if the losses behind the quarantine are known here.
+	observed bool
 }
 
 // New returns a Quarantiner without suspects or entries.
@@ -34,7 +41,7 @@
 		config:            config,
 		suspects:          make(map[uint64]*suspect),
 		entries:           make(map[uint64]entry),
-		pendingClearances: make(map[uint64]struct{}),
+		pendingClearances: make(map[Run]struct{}),
 	}
 }
 
@@ -43,34 +50,34 @@
 func (q *Quarantiner) Quarantined(now time.Time, fingerprint uint64) time.Duration {
 	until := q.entries[fingerprint].until
 	if s := q.suspects[fingerprint]; s != nil {
-		if at, ok := s.quarantineStart(q.config.Grace); ok && !now.Before(at) {
-			until = later(until, at.Add(q.config.Period))
+		if from, last, ok := s.quarantine(q.config); ok && !now.Before(from) {
+			until = later(until, later(from, last).Add(q.config.Period))
 		}
 	}
 	return max(until.Sub(now), 0)
 }
 
-// LostTarget records that a target was lost while the fingerprints were in
-// flight there. The report ID must differ between losses and between reporters,
+// LostTarget records that a target was lost while requests were in flight
+// there. The report ID must differ between losses and between reporters,
 // and stay the same when a report is repeated.
-func (q *Quarantiner) LostTarget(now time.Time, target string, reportID uint64, fingerprints []uint64) {
-	for _, fingerprint := range fingerprints[:min(len(fingerprints), q.config.MaxFingerprintsPerLoss)] {
-		if fingerprint != 0 {
-			q.recordLoss(fingerprint, loss{target, reportID, now})
+func (q *Quarantiner) LostTarget(now time.Time, target string, reportID uint64, runs []Run) {
+	for _, run := range runs[:min(len(runs), q.config.MaxFingerprintsPerLoss)] {
+		if run.Fingerprint != 0 {
+			q.recordLoss(run.Fingerprint, loss{target: target, part: run.Part, reportID: reportID, at: now})
 		}
 	}
 }
 
 // Completed records that a target completed a run, whatever the answer. A
 // request that was shed or exceeded its deadline has not completed.
-func (q *Quarantiner) Completed(now time.Time, fingerprint uint64) {
-	if fingerprint == 0 {
+func (q *Quarantiner) Completed(now time.Time, run Run) {
+	if run.Fingerprint == 0 {
 		return
 	}
-	q.completions.add(now, fingerprint, q.config.Grace, q.config.MaxCompletions)
-	if q.Suspected(fingerprint) || q.needsClearance(fingerprint) {
-		q.clear(now, fingerprint)
-		q.queueClearance(fingerprint)
+	q.completions.add(now, run, q.config.Grace, q.config.MaxCompletions)
+	if q.Suspected(run) || q.needsClearance(run) {
+		q.clear(now, run)
+		q.queueClearance(run)
 	}
 }
 
@@ -85,34 +92,66 @@
 		switch {
 		case e.Fingerprint == 0:
 		case e.Remaining <= 0:
-			if q.Suspected(e.Fingerprint) {
+			if q.mergeClearance(now, e) {
 				updates = append(updates, Entry{Fingerprint: e.Fingerprint})
 			}
-			q.clear(now, e.Fingerprint)
-		case q.discounted(e.Fingerprint, now.Add(e.Remaining-q.config.Period)):
-			q.queueClearance(e.Fingerprint)
-		case q.addEntry(e.Fingerprint, now.Add(e.Remaining), e.LostTargets):
+		case q.entryDiscounted(e, now.Add(e.Remaining-q.config.Period)):
+		case q.addEntry(e.Fingerprint, entry{until: now.Add(e.Remaining), lostTargets: e.LostTargets, parts: e.Parts}):
 			updates = append(updates, e)
 		}
 	}
 	return updates
 }
 
+// mergeClearance applies a clearance of a peer and reports whether it ended a suspicion.
+func (q *Quarantiner) mergeClearance(now time.Time, e Entry) bool {
+	suspected := q.Suspected(Run{Fingerprint: e.Fingerprint})
+	for _, part := range partsOf(e) {
+		q.clear(now, Run{e.Fingerprint, part})
+	}
+	return suspected && !q.Suspected(Run{Fingerprint: e.Fingerprint})
+}
+
+// entryDiscounted reports whether all parts of a peer's quarantine that began at the given
+// time have been cleared here, and queues the clearances of those that have.
+func (q *Quarantiner) entryDiscounted(e Entry, began time.Time) bool {
+	all := true
+	for _, part := range partsOf(e) {
+		run := Run{e.Fingerprint, part}
+		if !q.discounted(run, began) {
+			all = false
+			continue
+		}
+		q.queueClearance(run)
+	}
+	return all
+}
+
+// partsOf returns the parts of an entry, the empty name standing for all.
+func partsOf(e Entry) []string {
+	if len(e.Parts) == 0 {
+		return []string{""}
+	}
+	return e.Parts
+}
+
 // Advance quarantines suspects whose grace period has ended, removes expired
 // records, and returns the new quarantines and clearances to be sent to peers
 // and gateways.
 func (q *Quarantiner) Advance(now time.Time) []Entry {
 	var updates []Entry
 	for fingerprint, s := range q.suspects {
-		at, ok := s.quarantineStart(q.config.Grace)
-		if ok && !now.Before(at) {
-			if q.addEntry(fingerprint, at.Add(q.config.Period), s.lossCount) {
-				updates = append(updates, q.entry(now, fingerprint))
-			}
-			s.lossCount = 0
-		}
 		if now.Sub(s.updatedAt) >= q.config.Period {
 			delete(q.suspects, fingerprint)
+			continue
+		}
+		from, last, ok := s.quarantine(q.config)
+		if !ok || now.Before(from) {
+			continue
+		}
+		e := entry{until: later(from, last).Add(q.config.Period), lostTargets: s.counted(), parts: s.suspectedParts(), observed: true}
+		if q.addEntry(fingerprint, e) {
+			updates = append(updates, q.entry(now, fingerprint))
 		}
 	}
 	for fingerprint, e := range q.entries {
@@ -120,8 +159,12 @@
 			delete(q.entries, fingerprint)
 		}
 	}
-	for fingerprint := range q.pendingClearances {
-		updates = append(updates, Entry{Fingerprint: fingerprint})
+	for run := range q.pendingClearances {
+		e := Entry{Fingerprint: run.Fingerprint}
+		if run.Part != "" {
+			e.Parts = []string{run.Part}
+		}
+		updates = append(updates, e)
 	}
 	clear(q.pendingClearances)
 	return sorted(updates)
@@ -145,76 +188,100 @@
 }
 
 func (q *Quarantiner) recordLoss(fingerprint uint64, l loss) {
-	s := q.suspect(l.at, fingerprint)
+	s, run := q.suspect(l.at, fingerprint), Run{fingerprint, l.part}
 	if s.isDuplicate(l, q.config.DuplicateWindow) {
 		return
 	}
-	s.add(l)
 	// A peer may have the loss report but not the completion, so the next
 	// completion must be published.
-	s.needsClearance = true
-	if q.completions.within(l.at, fingerprint, q.config.Grace) {
-		q.queueClearance(fingerprint)
-	}
-	if !q.discounted(fingerprint, l.at) {
-		s.countLoss(l.at)
+	s.unclearedParts.Add(l.part)
+	if q.completions.within(l.at, run, q.config.Grace) {
+		q.queueClearance(run)
 	}
+	l.counted = !q.discounted(run, l.at)
+	s.add(l)
 }
 
 // discounted reports whether a loss at the given time doesn't count because of
 // a completed run or a clearance.
-func (q *Quarantiner) discounted(fingerprint uint64, at time.Time) bool {
-	if q.completions.within(at, fingerprint, q.config.Grace) {
+func (q *Quarantiner) discounted(run Run, at time.Time) bool {
+	if q.completions.within(at, run, q.config.Grace) {
 		return true
 	}
-	s := q.suspects[fingerprint]
-	return s != nil && !s.clearedAt.IsZero() && at.Sub(s.clearedAt) <= q.config.Grace
+	s := q.suspects[run.Fingerprint]
+	return s != nil && s.clearedWithin(at, run.Part, q.config.Grace)
 }
 
-// Suspected reports whether losses count against the fingerprint or it is quarantined.
-func (q *Quarantiner) Suspected(fingerprint uint64) bool {
-	if _, ok := q.entries[fingerprint]; ok {
+// Suspected reports whether losses count against the request at a part, or it is
+// quarantined because of losses there. The empty part stands for any.
+func (q *Quarantiner) Suspected(run Run) bool {
+	if e, ok := q.entries[run.Fingerprint]; ok && e.concerns(run.Part) {
 		return true
 	}
+	s := q.suspects[run.Fingerprint]
+	return s != nil && s.countedAt(run.Part) > 0
+}
+
+// SuspectedParts returns the parts where losses count against a request.
+func (q *Quarantiner) SuspectedParts(fingerprint uint64) []string {
 	s := q.suspects[fingerprint]
-	return s != nil && s.lossCount > 0
+	if s == nil {
+		return nil
+	}
+	return s.suspectedParts()
+}
+
+// concerns reports whether targets were lost at the part, as far as that is known.
+func (e entry) concerns(part string) bool {
+	return len(e.parts) == 0 || slices.ContainsFunc(e.parts, func(lost string) bool { return covers(part, lost) })
 }
 
 // needsClearance reports whether no clearance was queued for the peers since the
 // last loss. A loss that is discounted here because of an earlier clearance may
 // count at a peer that received that clearance sooner.
-func (q *Quarantiner) needsClearance(fingerprint uint64) bool {
-	s := q.suspects[fingerprint]
-	return s != nil && s.needsClearance
+func (q *Quarantiner) needsClearance(run Run) bool {
+	s := q.suspects[run.Fingerprint]
+	return s != nil && (s.unclearedParts.Has(run.Part) || s.unclearedParts.Has(""))
 }
 
-func (q *Quarantiner) clear(now time.Time, fingerprint uint64) {
-	q.suspect(now, fingerprint).clear(now)
-	delete(q.entries, fingerprint)
+// clear cancels the losses of a part, and the quarantine if too few others are left.
+func (q *Quarantiner) clear(now time.Time, run Run) {
+	s := q.suspect(now, run.Fingerprint)
+	s.clear(now, run.Part)
+	e, ok := q.entries[run.Fingerprint]
+	if !ok || !e.concerns(run.Part) {
+		return
+	}
+	e.parts = slices.DeleteFunc(slices.Clone(e.parts), func(part string) bool { return covers(run.Part, part) })
+	q.entries[run.Fingerprint] = e
+	if len(e.parts) == 0 || e.observed && s.counted() < lossesForQuarantine {
+		delete(q.entries, run.Fingerprint)
+	}
 }
 
-func (q *Quarantiner) queueClearance(fingerprint uint64) {
+func (q *Quarantiner) queueClearance(run Run) {
 	if len(q.pendingClearances) >= q.config.MaxEntries {
 		return
 	}
-	q.pendingClearances[fingerprint] = struct{}{}
-	if s := q.suspects[fingerprint]; s != nil {
-		s.needsClearance = false
+	q.pendingClearances[run] = struct{}{}
+	if s := q.suspects[run.Fingerprint]; s != nil {
+		s.unclearedParts.Remove(run.Part)
+		s.unclearedParts.Remove("")
 	}
 }
 
 // addEntry adds or extends an entry and reports whether it changed. It ignores
 // an extension by up to one grace period, which comes from the transit time of
 // messages and would keep an entry alive for as long as peers exchange it.
-func (q *Quarantiner) addEntry(fingerprint uint64, until time.Time, lostTargets int) bool {
+func (q *Quarantiner) addEntry(fingerprint uint64, e entry) bool {
 	existing, ok := q.entries[fingerprint]
-	if ok && until.Sub(existing.until) <= q.config.Grace {
+	if ok && e.until.Sub(existing.until) <= q.config.Grace {
 		return false
 	}
 	if !ok && len(q.entries) >= q.config.MaxEntries {
 		q.evictEarliestExpiry()
 	}
-	q.entries[fingerprint] = entry{until, lostTargets}
+	q.entries[fingerprint] = e
 	return true
 }
 
@@ -237,7 +304,7 @@
 	if len(q.suspects) >= q.config.MaxSuspects {
 		q.evictSuspect()
 	}
-	s := &suspect{updatedAt: now}
+	s := newSuspect(now)
 	q.suspects[fingerprint] = s
 	return s
 }
@@ -254,7 +321,7 @@
 
 func (q *Quarantiner) entry(now time.Time, fingerprint uint64) Entry {
 	e := q.entries[fingerprint]
-	return Entry{Fingerprint: fingerprint, Remaining: e.until.Sub(now), LostTargets: e.lostTargets}
+	return Entry{Fingerprint: fingerprint, Remaining: e.until.Sub(now), LostTargets: e.lostTargets, Parts: e.parts}
 }
 
 func later(a, b time.Time) time.Time {
@@ -266,7 +333,7 @@
 
 func sorted(entries []Entry) []Entry {
 	slices.SortFunc(entries, func(a, b Entry) int {
-		return cmp.Compare(a.Fingerprint, b.Fingerprint)
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), slices.Compare(a.Parts, b.Parts))
 	})
 	return entries
 }
--- a/core/quarantiner/quarantiner_test.go
+++ b/core/quarantiner/quarantiner_test.go
@@ -16,12 +16,21 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
+// runs returns runs of requests at one part.
+func runs(fingerprints ...uint64) []quarantiner.Run {
+	var list []quarantiner.Run
+	for _, f := range fingerprints {
+		list = append(list, quarantiner.Run{Fingerprint: f, Part: "part"})
+	}
+	return list
+}
+
 func Example() {
 	q := quarantiner.New(quarantiner.DefaultConfig())
 	poison := quarantiner.Fingerprint("trackfinder", "search", "  Hut\tBEYOND ")
-	q.LostTarget(at(0), "t1", 1, []uint64{poison})
+	q.LostTarget(at(0), "t1", 1, runs(poison))
 	fmt.Println(q.Quarantined(at(0), poison))
-	q.LostTarget(at(3*time.Second), "t2", 2, []uint64{poison})
+	q.LostTarget(at(3*time.Second), "t2", 2, runs(poison))
 	fmt.Println(q.Quarantined(at(3*time.Second), quarantiner.Fingerprint("trackfinder", "search", "hut beyond")))
 	// Output:
 	// 0s
@@ -76,9 +85,9 @@
 		for _, e := range c.events {
 			q.Advance(at(e.at))
 			if e.target == "" {
-				q.Completed(at(e.at), 7)
+				q.Completed(at(e.at), runs(7)[0])
 			} else {
-				q.LostTarget(at(e.at), e.target, e.reportID, []uint64{7})
+				q.LostTarget(at(e.at), e.target, e.reportID, runs(7))
 			}
 		}
 		got := map[string]time.Duration{
@@ -106,7 +115,7 @@
 	var got [][]quarantiner.Entry
 	got = append(got, q.Merge(at(0), quarantine), q.Entries(at(time.Minute)))
 	got = append(got, q.Merge(at(time.Second), quarantine), q.Advance(at(time.Second)))
-	q.Completed(at(time.Minute), 7)
+	q.Completed(at(time.Minute), runs(7)[0])
 	got = append(got, q.Entries(at(time.Minute)), q.Advance(at(time.Minute)), q.Advance(at(time.Minute)))
 	quarantine[0].Remaining = 9 * time.Minute
 	got = append(got, q.Merge(at(time.Minute), quarantine), q.Advance(at(time.Minute)))
@@ -116,7 +125,8 @@
 	full := []quarantiner.Entry{{Fingerprint: 7, Remaining: 10 * time.Minute, LostTargets: 2}}
 	minuteLater := []quarantiner.Entry{{Fingerprint: 7, Remaining: 9 * time.Minute, LostTargets: 2}}
 	clearance := []quarantiner.Entry{{Fingerprint: 7}}
-	want := [][]quarantiner.Entry{full, minuteLater, nil, nil, nil, clearance, nil, nil, clearance, full, clearance, nil}
+	clearanceOfPart := []quarantiner.Entry{{Fingerprint: 7, Parts: []string{"part"}}}
+	want := [][]quarantiner.Entry{full, minuteLater, nil, nil, nil, clearanceOfPart, nil, nil, clearance, full, clearance, nil}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("entries differ (-want +got):\n%s", diff)
 	}
@@ -132,7 +142,7 @@
 	config := quarantiner.DefaultConfig()
 	config.MaxSuspects, config.MaxEntries, config.MaxFingerprintsPerLoss = 4, 2, 3
 	q := quarantiner.New(config)
-	q.LostTarget(at(0), "a", 1, []uint64{0, 1, 2, 3})
+	q.LostTarget(at(0), "a", 1, runs(0, 1, 2, 3))
 	for fingerprint := uint64(10); fingerprint < 20; fingerprint++ {
 		q.Merge(at(time.Second), []quarantiner.Entry{{Fingerprint: fingerprint}})
 		q.Merge(at(time.Second), []quarantiner.Entry{{Fingerprint: fingerprint + 10, Remaining: time.Minute}})
@@ -140,7 +150,7 @@
 	if suspects, entries := q.Len(); suspects != 4 || entries != 2 {
 		t.Errorf("got %d suspects and %d entries, want 4 and 2", suspects, entries)
 	}
-	q.LostTarget(at(2*time.Second), "b", 2, []uint64{0, 1, 3})
+	q.LostTarget(at(2*time.Second), "b", 2, runs(0, 1, 3))
 	got := []time.Duration{q.Quarantined(at(2*time.Second), 0), q.Quarantined(at(2*time.Second), 1), q.Quarantined(at(2*time.Second), 3)}
 	if diff := cmp.Diff([]time.Duration{0, 10 * time.Minute, 0}, got); diff != "" {
 		t.Errorf("quarantine of the zero fingerprint, a suspect and a fingerprint beyond MaxFingerprintsPerLoss differs (-want +got):\n%s", diff)
@@ -159,10 +169,10 @@
 	config.MaxCompletions = 3
 	q := quarantiner.New(config)
 	for i, fingerprint := range []uint64{1, 7, 8, 9, 10, 11, 7, 12, 13} {
-		q.Completed(at([]time.Duration{0, 1500, 1600, 1700, 1800, 2400, 2450, 2500, 2520}[i]*time.Millisecond), fingerprint)
+		q.Completed(at([]time.Duration{0, 1500, 1600, 1700, 1800, 2400, 2450, 2500, 2520}[i]*time.Millisecond), runs(fingerprint)[0])
 	}
 	for reportID, target := range []string{"a", "b"} {
-		q.LostTarget(at(2550*time.Millisecond), target, uint64(reportID), []uint64{7, 10, 12})
+		q.LostTarget(at(2550*time.Millisecond), target, uint64(reportID), runs(7, 10, 12))
 	}
 	got := map[uint64]bool{}
 	for _, e := range q.Advance(at(4 * time.Second)) {
@@ -178,12 +188,12 @@
 // next completion.
 func TestCompletionAfterClearanceIsPublished(t *testing.T) {
 	q := quarantiner.New(quarantiner.DefaultConfig())
-	clearance := []quarantiner.Entry{{Fingerprint: 7}}
+	clearance := []quarantiner.Entry{{Fingerprint: 7, Parts: []string{"part"}}}
 	q.Merge(at(0), clearance)
-	q.LostTarget(at(500*time.Millisecond), "a", 1, []uint64{7})
-	q.Completed(at(600*time.Millisecond), 7)
+	q.LostTarget(at(500*time.Millisecond), "a", 1, runs(7))
+	q.Completed(at(600*time.Millisecond), runs(7)[0])
 	updates := q.Advance(at(time.Second))
-	q.Completed(at(time.Second), 7)
+	q.Completed(at(time.Second), runs(7)[0])
 	if diff := cmp.Diff(clearance, append(updates, q.Advance(at(time.Second))...)); diff != "" {
 		t.Errorf("updates differ (-want +got):\n%s", diff)
 	}
@@ -195,7 +205,7 @@
 	q := quarantiner.New(quarantiner.DefaultConfig())
 	for i, target := range []string{"a", "b", "c", "d"} {
 		when := at([]time.Duration{0, 4, 300, 304}[i] * time.Second)
-		q.LostTarget(when, target, uint64(i), []uint64{7})
+		q.LostTarget(when, target, uint64(i), runs(7))
 		q.Advance(when)
 	}
 	if got := q.Quarantined(at(304*time.Second), 7); got != 10*time.Minute {
@@ -227,11 +237,11 @@
 		for n, when := 0, 2*time.Second; n < losses; n++ {
 			for _, q := range relays {
 				actions = append(actions, action{when + delay(), func(now time.Time) {
-					q.LostTarget(now, fmt.Sprint("t", n), uint64(n), []uint64{poison, popular})
+					q.LostTarget(now, fmt.Sprint("t", n), uint64(n), runs(poison, popular))
 				}})
 			}
 			q, done := relay(), when+delay()-150*ms
-			actions = append(actions, action{done, func(now time.Time) { q.Completed(now, popular) }})
+			actions = append(actions, action{done, func(now time.Time) { q.Completed(now, runs(popular)[0]) }})
 			when += time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap")) * ms
 		}
 		for now := time.Duration(0); now < 30*time.Second; now += 10 * ms {
--- a/entry/informer/frame.go
+++ b/entry/informer/frame.go
@@ -54,7 +54,7 @@
 func toReports(reports []quarantiner.Report) []*informerpb.Report {
 	list := make([]*informerpb.Report, len(reports))
 	for i, r := range reports {
-		list[i] = &informerpb.Report{Fingerprint: r.Fingerprint, Target: r.Target}
+		list[i] = &informerpb.Report{Fingerprint: r.Fingerprint, Target: r.Target, Parts: r.Parts}
 	}
 	return list
 }
@@ -62,7 +62,7 @@
 func fromReports(list []*informerpb.Report) []quarantiner.Report {
 	reports := make([]quarantiner.Report, len(list))
 	for i, r := range list {
-		reports[i] = quarantiner.Report{Fingerprint: r.GetFingerprint(), Target: r.GetTarget()}
+		reports[i] = quarantiner.Report{Fingerprint: r.GetFingerprint(), Target: r.GetTarget(), Parts: r.GetParts()}
 	}
 	return reports
 }
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -88,13 +88,19 @@
 func (i *Inspector) Completed(target registrar.Record, fingerprint uint64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now := i.timers.Now()
-	if i.state.Suspected(fingerprint) {
+	now, run := i.timers.Now(), runOf(target, fingerprint)
+	if i.state.Suspected(run) {
 		i.log.Info("suspicion ended by a completed run", zap.String("fingerprint", quarantiner.FormatFingerprint(fingerprint)),
 			zap.String("target", target.ID), zap.String("service", target.Service))
 		i.setActive(now)
 	}
-	i.state.Completed(now, fingerprint)
+	i.state.Completed(now, run)
+}
+
+// runOf returns the run of a request at a target. A target of one service may run a request
+// that crashes the targets of another.
+func runOf(target registrar.Record, fingerprint uint64) quarantiner.Run {
+	return quarantiner.Run{Fingerprint: fingerprint, Part: target.Service}
 }
 
 // setActive makes Run evaluate the state frequently for a while. The caller holds mu.
@@ -116,7 +122,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now, key := i.timers.Now(), incarnation(target)
-	if i.broken.Add(now, key, fingerprint) && !i.losses.Put(target) {
+	if i.broken.Add(now, key, runOf(target, fingerprint)) && !i.losses.Put(target) {
 		i.broken.Take(now, key)
 	}
 }
@@ -160,19 +166,19 @@
 	}
 	key := incarnation(target)
 	i.mu.Lock()
-	fingerprints := i.broken.Take(i.timers.Now(), key)
+	runs := i.broken.Take(i.timers.Now(), key)
 	i.mu.Unlock()
-	if len(fingerprints) == 0 || i.reachable(ctx, target.Address) {
+	if len(runs) == 0 || i.reachable(ctx, target.Address) {
 		return
 	}
 	i.scope.Counter("targets_lost").Inc(1)
 	i.log.Warn("target lost with requests in flight", zap.String("target", target.ID), zap.String("service", target.Service),
-		zap.String("fingerprints", formatAll(fingerprints)))
+		zap.String("fingerprints", formatAll(runs)))
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.timers.Now()
-	for _, fingerprint := range fingerprints {
-		i.recordLoss(now, quarantiner.Report{Fingerprint: fingerprint, Target: key}, now.Add(settleTime))
+	for _, run := range runs {
+		i.recordLoss(now, quarantiner.Report{Fingerprint: run.Fingerprint, Target: key, Parts: []string{run.Part}}, now.Add(settleTime))
 	}
 }
 
@@ -194,7 +200,7 @@
 // recordLoss counts a loss and schedules its publication. The caller holds mu.
 func (i *Inspector) recordLoss(now time.Time, report quarantiner.Report, due time.Time) {
 	i.setActive(now)
-	i.state.LostTarget(now, report.Target, onlyLossID, []uint64{report.Fingerprint})
+	i.state.LostTarget(now, report.Target, onlyLossID, report.Runs())
 	i.reports.Add(report, due)
 }
 
@@ -204,7 +210,7 @@
 	changed := i.state.Advance(now)
 	for _, e := range changed {
 		if e.Remaining <= 0 {
-			i.reports.Clear(now, e.Fingerprint)
+			i.clearReports(now, quarantiner.Report{Fingerprint: e.Fingerprint, Parts: e.Parts})
 		}
 	}
 	suspects, quarantined := i.state.Len()
@@ -248,32 +254,40 @@
 		switch {
 		case report.Fingerprint == 0:
 		case report.Clearance():
-			i.recordClearance(now, report.Fingerprint)
+			i.recordClearance(now, report)
 		default:
 			i.recordLoss(now, report, now.Add(relayDelay))
 		}
 	}
 }
 
-// recordClearance ends the suspicion of a request that has run to its end at another VM.
-// The caller holds mu.
-func (i *Inspector) recordClearance(now time.Time, fingerprint uint64) {
-	if i.state.Quarantined(now, fingerprint) > 0 {
-		i.log.Info("quarantine ended by a completed run", zap.String("fingerprint", quarantiner.FormatFingerprint(fingerprint)))
-	}
+// recordClearance ends the suspicion of a request at the parts where it has run to its end
+// at another VM. The caller holds mu.
+func (i *Inspector) recordClearance(now time.Time, clearance quarantiner.Report) {
+	quarantined := i.state.Quarantined(now, clearance.Fingerprint) > 0
 	i.setActive(now)
-	i.state.Merge(now, []quarantiner.Entry{{Fingerprint: fingerprint}})
-	i.reports.Clear(now, fingerprint)
+	i.state.Merge(now, []quarantiner.Entry{{Fingerprint: clearance.Fingerprint, Parts: clearance.Parts}})
+	i.clearReports(now, clearance)
+	if quarantined && i.state.Quarantined(now, clearance.Fingerprint) == 0 {
+		i.log.Info("quarantine ended by a completed run", zap.String("fingerprint", quarantiner.FormatFingerprint(clearance.Fingerprint)))
+	}
+}
+
+// clearReports drops or withdraws the losses that a clearance cancels. The caller holds mu.
+func (i *Inspector) clearReports(now time.Time, clearance quarantiner.Report) {
+	for _, run := range clearance.Runs() {
+		i.reports.Clear(now, run)
+	}
 }
 
 // maxLoggedFingerprints limits the fingerprints in a log line.
 const maxLoggedFingerprints = 32
 
-// formatAll lists fingerprints as a log line does.
-func formatAll(fingerprints []uint64) string {
-	texts := make([]string, min(len(fingerprints), maxLoggedFingerprints))
+// formatAll lists the fingerprints of runs as a log line does.
+func formatAll(runs []quarantiner.Run) string {
+	texts := make([]string, min(len(runs), maxLoggedFingerprints))
 	for k := range texts {
-		texts[k] = quarantiner.FormatFingerprint(fingerprints[k])
+		texts[k] = quarantiner.FormatFingerprint(runs[k].Fingerprint)
 	}
 	return strings.Join(texts, ",")
 }
--- a/entry/inspector/publisher.go
+++ b/entry/inspector/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -74,7 +75,7 @@
 	}
 	items := make([]storer.Item, len(due))
 	for k, report := range due {
-		items[k] = storer.Item{Key: keyOf(report), Value: []byte("{}")}
+		items[k] = storer.Item{Key: keyOf(report), Value: valueOf(report)}
 	}
 	if err := store.PutAll(ctx, items, lease); err != nil {
 		return err
@@ -95,9 +96,25 @@
 	return prefix + quarantiner.FormatFingerprint(report.Fingerprint) + "/" + name
 }
 
-// parseKey returns the report that a key stands for, and false for other keys.
-func parseKey(key string) (quarantiner.Report, bool) {
-	rest, ok := strings.CutPrefix(key, prefix)
+// reportValue is the value of a report's key.
+type reportValue struct {
+	// Parts are the services of the report. An operator who writes a key by hand, and VMs of
+	// earlier versions, leave them out: the report then concerns all.
+	Parts []string `json:"parts,omitempty"`
+}
+
+func valueOf(report quarantiner.Report) []byte {
+	value, err := json.Marshal(reportValue{Parts: report.Parts})
+	if err != nil {
+		// Strings can always be encoded.
+		panic(err)
+	}
+	return value
+}
+
+// parseItem returns the report that an item stands for, and false for other items.
+func parseItem(item storer.Item) (quarantiner.Report, bool) {
+	rest, ok := strings.CutPrefix(item.Key, prefix)
 	if !ok {
 		return quarantiner.Report{}, false
 	}
@@ -109,7 +126,12 @@
 	if name == clearedKey {
 		name = ""
 	}
-	return quarantiner.Report{Fingerprint: fingerprint, Target: name}, true
+	var value reportValue
+	if json.Unmarshal(item.Value, &value) != nil {
+		// A value that cannot be read says as little as one without parts.
+		value.Parts = nil
+	}
+	return quarantiner.Report{Fingerprint: fingerprint, Target: name, Parts: value.Parts}, true
 }
 
 // ApplyItems records changes of the store. Items that are not reports are ignored.
@@ -118,7 +140,7 @@
 	defer i.mu.Unlock()
 	now := i.timers.Now()
 	for _, item := range items {
-		report, ok := parseKey(item.Key)
+		report, ok := parseItem(item)
 		switch {
 		case !ok:
 		case item.Gone:
@@ -136,7 +158,7 @@
 	now := i.timers.Now()
 	reports := i.keepClearances(now, currentReports(items))
 	for _, report := range i.reports.AllPublished() {
-		if !slices.Contains(reports, report) {
+		if !contains(reports, report) {
 			i.recordWithdrawn(now, report)
 		}
 	}
@@ -146,43 +168,50 @@
 	}
 }
 
-// keepClearances returns the reports of a full listing without the losses of requests that
-// are cleared but whose clearance is missing: the store was restored from a copy older than
-// it. Those clearances are written again. The caller holds mu.
+// contains reports whether one of the reports has the key of another.
+func contains(reports []quarantiner.Report, report quarantiner.Report) bool {
+	return slices.ContainsFunc(reports, func(r quarantiner.Report) bool {
+		return r.Fingerprint == report.Fingerprint && r.Target == report.Target
+	})
+}
+
+// keepClearances returns the reports of a full listing without the losses that are cleared
+// but whose clearance is missing: the store was restored from a copy older than it. Those
+// clearances are written again. The caller holds mu.
 func (i *Inspector) keepClearances(now time.Time, reports []quarantiner.Report) []quarantiner.Report {
 	for _, clearance := range i.reports.AllPublished() {
-		if !clearance.Clearance() || slices.Contains(reports, clearance) {
+		if !clearance.Clearance() || contains(reports, clearance) {
 			continue
 		}
 		reports = slices.DeleteFunc(reports, func(loss quarantiner.Report) bool {
-			if loss.Fingerprint != clearance.Fingerprint {
+			if loss.Fingerprint != clearance.Fingerprint || !cancels(clearance, loss) {
 				return false
 			}
 			i.reports.Published(loss)
 			return true
 		})
 		i.setActive(now)
-		i.reports.Clear(now.Add(rand.N(republishSpread)), clearance.Fingerprint)
+		i.clearReports(now.Add(rand.N(republishSpread)), clearance)
 	}
 	return reports
 }
 
-// currentReports returns the reports among items in the order in which they were written,
-// without the losses before a clearance and without clearances before a loss.
+// cancels reports whether a clearance covers the part of a loss.
+func cancels(clearance, loss quarantiner.Report) bool {
+	return len(clearance.Parts) == 0 || len(loss.Parts) == 0 || slices.Contains(clearance.Parts, loss.Parts[0])
+}
+
+// currentReports returns the reports among items that hold, by the order in which they were
+// written.
 func currentReports(items []storer.Item) []quarantiner.Report {
 	items = slices.SortedFunc(slices.Values(items), func(a, b storer.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	var reports []quarantiner.Report
 	for _, item := range items {
-		report, ok := parseKey(item.Key)
-		if !ok {
-			continue
+		if report, ok := parseItem(item); ok {
+			reports = append(reports, report)
 		}
-		reports = slices.DeleteFunc(reports, func(other quarantiner.Report) bool {
-			return other.Fingerprint == report.Fingerprint && other.Clearance() != report.Clearance()
-		})
-		reports = append(reports, report)
 	}
-	return reports
+	return quarantiner.Current(reports)
 }
 
 // recordPublished records a report in the store, which is at least as old as age. The
@@ -190,18 +219,19 @@
 func (i *Inspector) recordPublished(now time.Time, report quarantiner.Report, age time.Duration) {
 	i.reports.Published(report)
 	if report.Clearance() {
-		i.recordClearance(now, report.Fingerprint)
+		i.recordClearance(now, report)
 		return
 	}
 	i.setActive(now)
-	i.state.LostTarget(now.Add(-age), report.Target, onlyLossID, []uint64{report.Fingerprint})
+	i.state.LostTarget(now.Add(-age), report.Target, onlyLossID, report.Runs())
 }
 
 // recordWithdrawn records a report that the store no longer holds. If that is because its
 // leases ended during an outage, a VM that starts would not know the quarantine, so the
 // report is written again. The caller holds mu.
 func (i *Inspector) recordWithdrawn(now time.Time, report quarantiner.Report) {
-	if !i.reports.Withdrawn(report) || report.Clearance() {
+	report, ok := i.reports.Withdrawn(report)
+	if !ok || report.Clearance() {
 		return
 	}
 	minRemaining := time.Duration(minRepublishShare * float64(quarantiner.DefaultConfig().Period))
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -43,9 +43,9 @@
 	// remote counts the sub-requests to other failure domains.
 	remote     int
 	callerLeft bool
-	// completed is set once a target has run the request to its end, broken once the
-	// connection to one ended before. Sub-requests set them also after the call.
-	completed, broken atomic.Bool
+	// broken is set once the connection to a target ended before it had run the request to
+	// its end, also after the call.
+	broken atomic.Bool
 	// subRequests holds every sub-request for the log line at the end.
 	subRequests []subRequest
 }
@@ -159,7 +159,7 @@
 	options := courier.Options{MaxOpen: r.Placer.Connections(service.MaxConnections), IdleTimeout: s.Placement.IdleTimeout}
 	pool := r.Pools.Pool(record.ID, record.Address, options)
 	route, latencyObjective, replies := c.route.Name, c.route.LatencyObjective, c.replies
-	fingerprint, completed, broken := c.fingerprint, &c.completed, &c.broken
+	fingerprint, broken := c.fingerprint, &c.broken
 	r.Detector.Sent(now, record.ID)
 	exchange := pool.Send(now, request, func(got courier.Reply) {
 		r.heard(got)
@@ -169,7 +169,7 @@
 		case got.Result != placer.Answered && got.Broken():
 			broken.Store(true)
 			r.Inspector.Broke(record, fingerprint)
-		case got.Result == placer.Answered && completed.CompareAndSwap(false, true):
+		case got.Result == placer.Answered:
 			r.Inspector.Completed(record, fingerprint)
 		}
 		replies <- &reply{shard: s.Shard, attempt: s.Attempt, target: record.ID, reply: got}
--- a/relay/inspector/inspector.go
+++ b/relay/inspector/inspector.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"jackdawcart.org/core/buffer"
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/dispatcher"
 	"jackdawcart.org/core/messenger/peerpb"
 	"jackdawcart.org/core/quarantiner"
@@ -113,19 +114,25 @@
 	if job.Fingerprint == 0 {
 		return
 	}
-	now := i.timers.Now()
+	now, run := i.timers.Now(), runOf(job)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	switch {
 	case result.Outcome == peerpb.Outcome_OUTCOME_RAN:
-		i.state.Completed(now, job.Fingerprint)
+		i.state.Completed(now, run)
 	case result.Failure == peerpb.FailureKind_FAILURE_LOST:
-		if i.broken.Add(now, target, job.Fingerprint) && !i.losses.Put(target) {
+		if i.broken.Add(now, target, run) && !i.losses.Put(target) {
 			i.broken.Take(now, target)
 		}
 	}
 }
 
+// runOf returns the run of a job. A target of one shard may run a request that crashes the
+// targets of another.
+func runOf(job *dispatcher.Job) quarantiner.Run {
+	return quarantiner.Run{Fingerprint: job.Fingerprint, Part: job.Service + "/" + job.Shard}
+}
+
 // confirmLoss probes a target whose connections broke. If the probe fails, it
 // reports the requests that were in flight there.
 func (i *Inspector) confirmLoss(ctx context.Context, target string) {
@@ -133,10 +140,10 @@
 	defer wait.Stop()
 	<-wait.C
 	i.mu.Lock()
-	fingerprints := i.broken.Take(i.timers.Now(), target)
+	runs := i.broken.Take(i.timers.Now(), target)
 	i.mu.Unlock()
 	addr, err := netip.ParseAddrPort(target)
-	if err != nil || len(fingerprints) == 0 {
+	if err != nil || len(runs) == 0 {
 		return
 	}
 	probe, cancel := context.WithTimeout(ctx, quarantiner.ProbeTimeout)
@@ -146,10 +153,13 @@
 	}
 	i.mu.Lock()
 	i.lossNumber++
-	lost := &peerpb.LostTarget{Target: target, Loss: i.lossNumber, Fingerprints: fingerprints}
-	i.state.LostTarget(i.timers.Now(), lost.Target, lost.Loss, lost.Fingerprints)
+	lost := &peerpb.LostTarget{Target: target, Loss: i.lossNumber}
+	for _, run := range runs {
+		lost.Fingerprints, lost.Parts = append(lost.Fingerprints, run.Fingerprint), append(lost.Parts, run.Part)
+	}
+	i.state.LostTarget(i.timers.Now(), lost.Target, lost.Loss, runs)
 	i.mu.Unlock()
-	i.log.Warn("target lost with requests in flight", zap.String("target", target), zap.Int("requests", len(fingerprints)))
+	i.log.Warn("target lost with requests in flight", zap.String("target", target), zap.Int("requests", len(runs)))
 	i.network.Broadcast(&peerpb.Frame{Kind: &peerpb.Frame_LostTarget{LostTarget: lost}})
 }
 
@@ -157,7 +167,20 @@
 func (i *Inspector) HandleLost(lost *peerpb.LostTarget) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.state.LostTarget(i.timers.Now(), lost.Target, lost.Loss, lost.Fingerprints)
+	i.state.LostTarget(i.timers.Now(), lost.Target, lost.Loss, runsOf(lost))
+}
+
+// runsOf returns the runs that a report names. A relay of an earlier version doesn't name
+// their shards.
+func runsOf(lost *peerpb.LostTarget) []quarantiner.Run {
+	runs := make([]quarantiner.Run, len(lost.Fingerprints))
+	for k, fingerprint := range lost.Fingerprints {
+		runs[k].Fingerprint = fingerprint
+		if k < len(lost.Parts) {
+			runs[k].Part = lost.Parts[k]
+		}
+	}
+	return runs
 }
 
 // HandleUpdate merges the quarantine entries of another relay.
@@ -165,7 +188,7 @@
 	entries := make([]quarantiner.Entry, 0, len(update.Entries))
 	for _, e := range update.Entries {
 		entries = append(entries, quarantiner.Entry{
-			Fingerprint: e.Fingerprint, Remaining: e.Remaining.AsDuration(), LostTargets: int(e.LostTargets),
+			Fingerprint: e.Fingerprint, Remaining: e.Remaining.AsDuration(), LostTargets: int(e.LostTargets), Parts: e.Parts,
 		})
 	}
 	i.mu.Lock()
@@ -197,8 +220,13 @@
 		return
 	}
 	entries := i.Entries()
+	inForce := container.NewSet[uint64]()
+	for _, e := range entries {
+		inForce.Add(e.Fingerprint)
+	}
 	for _, e := range changed {
-		if e.Remaining == 0 {
+		// A clearance of some parts may leave the quarantine in force.
+		if e.Remaining == 0 && !inForce.Has(e.Fingerprint) {
 			entries = append(entries, protoEntries([]quarantiner.Entry{e})...)
 		}
 	}
@@ -209,7 +237,7 @@
 	converted := make([]*peerpb.QuarantineEntry, len(entries))
 	for k, e := range entries {
 		converted[k] = &peerpb.QuarantineEntry{
-			Fingerprint: e.Fingerprint, Remaining: durationpb.New(e.Remaining), LostTargets: uint32(e.LostTargets),
+			Fingerprint: e.Fingerprint, Remaining: durationpb.New(e.Remaining), LostTargets: uint32(e.LostTargets), Parts: e.Parts,
 		}
 	}
 	return converted
--- a/relay/inspector/inspector_test.go
+++ b/relay/inspector/inspector_test.go
@@ -69,11 +69,16 @@
 
 // endJob reports the result of a job at a target.
 func (n *node) endJob(target string, fingerprint uint64, failure peerpb.FailureKind) {
+	n.endShardJob(target, "", fingerprint, failure)
+}
+
+// endShardJob reports the result of a job of a shard at a target.
+func (n *node) endShardJob(target, shard string, fingerprint uint64, failure peerpb.FailureKind) {
 	result := dispatcher.Result{Failure: failure}
 	if failure == peerpb.FailureKind_FAILURE_NONE {
 		result.Outcome = peerpb.Outcome_OUTCOME_RAN
 	}
-	n.JobEnded(target, &dispatcher.Job{Fingerprint: fingerprint}, result)
+	n.JobEnded(target, &dispatcher.Job{Fingerprint: fingerprint, Shard: shard}, result)
 }
 
 // loseTarget breaks requests at a target and waits until the loss is detected.
@@ -115,6 +120,13 @@
 			a.loseTarget(t2, poison, bystander)
 			b.endJob("10.0.0.3:80", bystander, completed)
 		}, map[uint64]bool{poison: true}},
+		{"answered by the targets of another shard", nil, func(a, b *node) {
+			for _, target := range []string{t1, t2} {
+				b.endShardJob("10.0.0.3:80", "other", poison, completed)
+				a.loseTarget(target, poison)
+				b.endShardJob("10.0.0.3:80", "other", poison, completed)
+			}
+		}, map[uint64]bool{poison: true}},
 		{"completed after the quarantine", nil, func(a, b *node) {
 			a.loseTarget(t1, poison)
 			a.loseTarget(t2, poison)
