Suspect requests that were given up before their target crashed

Callers of a request whose run ends its target after the deadline got 504, and each copy ended more targets, for ever.

Cause: a loss counted against the requests whose connections broke. A run that was given up (deadline, caller gone, a hedge was faster) has no connection any more when its target crashes, and was forgotten.

A target with such runs that ends an idle connection, refuses new ones, loses its registration or is replaced at its address is taken as lost under them, unless it drains. A probe without an answer no longer counts as a loss: a host without power is silent, a crashed process leaves one that refuses.

--- a/entry/courier/connection.go
+++ b/entry/courier/connection.go
@@ -117,7 +117,7 @@
 func (c *connection) deliver(e *Exchange, reply Reply) {
 	defer func() {
 		if v := recover(); v != nil {
-			c.pool.count("panicked")
+			c.pool.hooks.Count("panicked")
 			fmt.Fprintf(os.Stderr, "callback of request %s panicked: %v\n%s", e.request.RequestID, v, debug.Stack())
 		}
 	}()
@@ -126,7 +126,7 @@
 
 // endAfterPanic ends the connection and the exchange whose answer it was reading.
 func (c *connection) endAfterPanic(v any) {
-	c.pool.count("panicked")
+	c.pool.hooks.Count("panicked")
 	err := &Error{Op: "read", Kind: KindPanic, Err: fmt.Errorf("%v at %s", v, debug.Stack())}
 	if e := c.current(); e != nil {
 		c.fail(e, placer.Lost, err)
@@ -147,9 +147,13 @@
 // closed it, or after bytes arrived that belong to no request.
 func (c *connection) closeIdle(err error) {
 	c.pool.mu.Lock()
+	byTarget := !c.dropped && err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	refused := c.newAndUnused() && !errors.Is(err, os.ErrDeadlineExceeded)
 	c.pool.drop(c)
 	c.pool.mu.Unlock()
+	if byTarget {
+		c.pool.hooks.Ended(c.pool.target)
+	}
 	if refused {
 		c.pool.refused(&Error{Op: "read", Kind: KindClosed, Err: errClosedBeforeAnswer})
 	}
@@ -189,7 +193,7 @@
 		c.pool.refused(err)
 	}
 	if pending {
-		c.pool.count("lost")
+		c.pool.hooks.Count("lost")
 		c.deliver(e, Reply{Result: result, Err: err})
 	}
 }
--- a/entry/courier/courier_test.go
+++ b/entry/courier/courier_test.go
@@ -53,7 +53,7 @@
 
 func pool(t *testing.T, address netip.AddrPort, limit int) *courier.Pool {
 	t.Helper()
-	pools := courier.New(dial, func(string) {}, func(string, bool) {})
+	pools := courier.New(dial, courier.Hooks{})
 	t.Cleanup(pools.Close)
 	return pools.Pool("i-1", address, courier.Options{MaxOpen: limit})
 }
@@ -276,7 +276,7 @@
 // no request has to be risked on it.
 func TestUnreachableTargetIsRedialed(t *testing.T) {
 	states := make(chan bool, 100)
-	pools := courier.New(dial, func(string) {}, func(_ string, up bool) { states <- up })
+	pools := courier.New(dial, courier.Hooks{SetReachable: func(_ string, up bool) { states <- up }})
 	t.Cleanup(pools.Close)
 	tgt := newTarget(t, func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) })
 	tgt.listener.Close()
@@ -311,7 +311,7 @@
 		}
 	})
 	reachable := make(chan bool, 1000)
-	pools := courier.New(dial, func(string) {}, func(_ string, up bool) { reachable <- up })
+	pools := courier.New(dial, courier.Hooks{SetReachable: func(_ string, up bool) { reachable <- up }})
 	t.Cleanup(pools.Close)
 	p := pools.Pool("i-1", tgt.address, courier.Options{MaxOpen: 1})
 	send(t, p, newRequest("a", time.Second))
@@ -342,7 +342,7 @@
 		}
 	})
 	reachable := make(chan bool, 10)
-	pools := courier.New(dial, func(string) {}, func(_ string, up bool) { reachable <- up })
+	pools := courier.New(dial, courier.Hooks{SetReachable: func(_ string, up bool) { reachable <- up }})
 	t.Cleanup(pools.Close)
 	p := pools.Pool("i-1", tgt.address, courier.Options{MaxOpen: 1, IdleTimeout: 100 * time.Millisecond})
 	check(t, "result", send(t, p, newRequest("a", time.Second)).Result, placer.Answered)
@@ -382,7 +382,7 @@
 // that nothing removed, and that a successor with the same ID inherited.
 func TestRetiredTargetIsNotReported(t *testing.T) {
 	reports := make(chan bool, 100)
-	pools := courier.New(dial, func(string) {}, func(_ string, up bool) { reports <- up })
+	pools := courier.New(dial, courier.Hooks{SetReachable: func(_ string, up bool) { reports <- up }})
 	t.Cleanup(pools.Close)
 	tgt := newTarget(t, func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) })
 	tgt.listener.Close()
--- a/entry/courier/endless_test.go
+++ b/entry/courier/endless_test.go
@@ -93,7 +93,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var sent atomic.Int64
 			var pools []*courier.Pool
-			all := courier.New(dial, func(string) {}, func(string, bool) {})
+			all := courier.New(dial, courier.Hooks{})
 			t.Cleanup(all.Close)
 			for i := range targets {
 				pools = append(pools, all.Pool(fmt.Sprint(i), endless(t, c.prefix, c.repeated, &sent).address, courier.Options{MaxOpen: 1}))
--- a/entry/courier/exchange.go
+++ b/entry/courier/exchange.go
@@ -52,6 +52,13 @@
 	return e.Kind == KindClosed || errors.Is(e, io.ErrUnexpectedEOF) || errors.Is(e, syscall.ECONNRESET)
 }
 
+// GivenUp reports whether this process ended the connection while the target may have been
+// running the request, and may still run it.
+func (r Reply) GivenUp() bool {
+	var e *Error
+	return r.Result == placer.Lost && errors.As(r.Err, &e) && e.Kind == KindTimeout
+}
+
 // state is the progress of an exchange.
 type state int
 
@@ -107,24 +114,44 @@
 	return true
 }
 
+// Hooks are called with what happens to connections. Each may be nil.
+type Hooks struct {
+	// Count is called with connection events: opened, lost, dial-failed, panicked.
+	Count func(event string)
+	// SetReachable is called whenever a target was found to be reachable or unreachable,
+	// also if that is not new.
+	SetReachable func(target string, reachable bool)
+	// Ended is called when a target has ended an idle connection.
+	Ended func(target string)
+}
+
+// withDefaults returns the hooks without nil ones.
+func (h Hooks) withDefaults() Hooks {
+	if h.Count == nil {
+		h.Count = func(string) {}
+	}
+	if h.SetReachable == nil {
+		h.SetReachable = func(string, bool) {}
+	}
+	if h.Ended == nil {
+		h.Ended = func(string) {}
+	}
+	return h
+}
+
 // Pools holds the connection pools of all targets. It is safe for concurrent use.
 type Pools struct {
-	dial  Dialer
-	count func(event string)
-	// setReachable reports whether connections to a target can be opened.
-	setReachable func(target string, reachable bool)
-
+	dial   Dialer
+	hooks  Hooks
 	memory *bodyMemory
 
 	mu    sync.Mutex
 	pools map[string]*Pool
 }
 
-// New returns the pools of a process, which are empty at first. count is called
-// with connection events (opened, lost, dial-failed), and setReachable whenever a
-// target was found to be reachable or unreachable, also if that is not new.
-func New(dial Dialer, count func(event string), setReachable func(target string, reachable bool)) *Pools {
-	return &Pools{dial: dial, count: count, setReachable: setReachable, memory: newBodyMemory(), pools: make(map[string]*Pool)}
+// New returns the pools of a process, which are empty at first.
+func New(dial Dialer, hooks Hooks) *Pools {
+	return &Pools{dial: dial, hooks: hooks.withDefaults(), memory: newBodyMemory(), pools: make(map[string]*Pool)}
 }
 
 // Options limit the connections to a target.
@@ -149,7 +176,7 @@
 	if ok {
 		go p.Close()
 	}
-	p = newPool(c.dial, c.count, func(reachable bool) { c.setReachable(id, reachable) }, c.memory, address, options)
+	p = newPool(c.dial, id, c.hooks, c.memory, address, options)
 	c.pools[id] = p
 	return p
 }
--- a/entry/courier/pool.go
+++ b/entry/courier/pool.go
@@ -26,11 +26,11 @@
 
 // Pool holds the connections to one target.
 type Pool struct {
-	dial         Dialer
-	count        func(event string)
-	setReachable func(reachable bool)
-	memory       *bodyMemory
-	address      netip.AddrPort
+	dial    Dialer
+	target  string
+	hooks   Hooks
+	memory  *bodyMemory
+	address netip.AddrPort
 
 	mu      sync.Mutex
 	options Options
@@ -48,9 +48,9 @@
 	queue         []*Exchange
 }
 
-func newPool(dial Dialer, count func(string), setReachable func(bool), memory *bodyMemory, address netip.AddrPort, options Options) *Pool {
+func newPool(dial Dialer, target string, hooks Hooks, memory *bodyMemory, address netip.AddrPort, options Options) *Pool {
 	options.MaxOpen = max(options.MaxOpen, 1)
-	return &Pool{dial: dial, count: count, setReachable: setReachable, memory: memory, address: address, options: options}
+	return &Pool{dial: dial, target: target, hooks: hooks, memory: memory, address: address, options: options}
 }
 
 func (p *Pool) setOptions(options Options) {
@@ -146,7 +146,7 @@
 func (p *Pool) startDial() {
 	p.total++
 	p.dialing++
-	p.count("opened")
+	p.hooks.Count("opened")
 	go p.dialAndRead()
 }
 
@@ -164,7 +164,7 @@
 	p.dialing--
 	if err != nil {
 		p.total--
-		p.count("dial-failed")
+		p.hooks.Count("dial-failed")
 		p.mu.Unlock()
 		p.refused(&Error{Op: "dial", Kind: KindUnreachable, Err: err})
 		return
@@ -189,7 +189,7 @@
 	}
 	p.mu.Unlock()
 	if alive {
-		p.setReachable(true)
+		p.hooks.SetReachable(p.target, true)
 	}
 }
 
@@ -211,7 +211,7 @@
 	}
 	p.mu.Unlock()
 	if unreachable {
-		p.setReachable(false)
+		p.hooks.SetReachable(p.target, false)
 		time.AfterFunc(pause, probe)
 	}
 	for _, e := range unsent {
@@ -225,7 +225,7 @@
 	closed := p.closed
 	p.mu.Unlock()
 	if !closed {
-		p.setReachable(true)
+		p.hooks.SetReachable(p.target, true)
 	}
 }
 
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -74,7 +74,7 @@
 func New(self registrar.Member, dial courier.Dialer, timers *timer.Service) *Delegator {
 	return &Delegator{
 		self: self, neighbours: diverter.NewNeighbours(self), timers: timers,
-		pools: courier.New(dial, func(string) {}, func(string, bool) {}),
+		pools: courier.New(dial, courier.Hooks{}),
 	}
 }
 
--- /dev/null
+++ b/entry/inspector/abandoned_test.go
@@ -0,0 +1,79 @@
+package inspector_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"jackdawcart.org/core/registrar"
+	"jackdawcart.org/entry/inspector"
+)
+
+// targetAt is a target that started at a time, at an address of its own.
+func targetAt(id string, port uint16, born time.Time) registrar.Record {
+	return registrar.Record{Target: registrar.Target{
+		ID: id, Service: "s", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port), Born: born,
+	}}
+}
+
+func dontAnswer(context.Context, netip.AddrPort) (net.Conn, error) { return nil, os.ErrDeadlineExceeded }
+
+// A request that was given up counts as the cause if its target is gone soon after,
+// however that shows, but not if the target leaves as planned, or is merely silent.
+func TestTargetGoneAfterRequestWasGivenUp(t *testing.T) {
+	event := func(change registrar.Change, record registrar.Record) func(*inspector.Inspector) {
+		return func(i *inspector.Inspector) { i.TargetChanged(registrar.Event{Change: change, Record: record}) }
+	}
+	born := time.Unix(1000, 0)
+	cases := []struct {
+		name string
+		dial inspector.Dialer
+		// gone tells the inspector what became of the target with an ID and a port.
+		gone func(id string, port uint16) func(*inspector.Inspector)
+		want bool
+	}{
+		{"idle connection ends", refuse, func(id string, _ uint16) func(*inspector.Inspector) {
+			return func(i *inspector.Inspector) { i.ConnectionEnded(id) }
+		}, true},
+		{"idle connection of a live target ends", accept, func(id string, _ uint16) func(*inspector.Inspector) {
+			return func(i *inspector.Inspector) { i.ConnectionEnded(id) }
+		}, false},
+		{"silent", dontAnswer, func(id string, _ uint16) func(*inspector.Inspector) {
+			return func(i *inspector.Inspector) { i.ConnectionEnded(id) }
+		}, false},
+		{"registration ends", refuse, func(id string, port uint16) func(*inspector.Inspector) {
+			return event(registrar.Removed, targetAt(id, port, born))
+		}, true},
+		{"another target has the address", accept, func(_ string, port uint16) func(*inspector.Inspector) {
+			return event(registrar.Added, targetAt("new", port, born))
+		}, true},
+		{"restarted", accept, func(id string, port uint16) func(*inspector.Inspector) {
+			return event(registrar.Restarted, targetAt(id, port, born.Add(time.Second)))
+		}, true},
+		{"leaves as planned", refuse, func(id string, port uint16) func(*inspector.Inspector) {
+			return func(i *inspector.Inspector) {
+				i.TargetChanged(registrar.Event{Change: registrar.Drained, Record: targetAt(id, port, born)})
+				i.ConnectionEnded(id)
+			}
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, 1, c.dial, func(_ *store, vms []*inspector.Inspector) {
+				for k, id := range []string{"t1", "t2"} {
+					port := uint16(k + 1)
+					vms[0].GaveUp(targetAt(id, port, born), poison)
+					time.Sleep(500 * time.Millisecond)
+					c.gone(id, port)(vms[0])
+				}
+				time.Sleep(2 * time.Second)
+				if got := vms[0].Quarantined(poison) > 0; got != c.want {
+					t.Errorf("quarantined: %t, want %t", got, c.want)
+				}
+			})
+		})
+	}
+}
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -11,6 +11,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -60,6 +61,9 @@
 	state   *quarantiner.Quarantiner
 	broken  quarantiner.BrokenRequests
 	reports *quarantiner.Reports
+	// abandoned holds the runs that were given up, and abandonedAt their targets by ID.
+	abandoned   quarantiner.AbandonedRuns
+	abandonedAt map[string]registrar.Record
 	// activeUntil is the end of the frequent evaluations.
 	activeUntil time.Time
 }
@@ -72,7 +76,7 @@
 		active:  make(chan struct{}, 1),
 		due:     make(chan struct{}, 1),
 		state:   quarantiner.New(quarantiner.DefaultConfig()),
-		reports: quarantiner.NewReports(),
+		reports: quarantiner.NewReports(), abandonedAt: make(map[string]registrar.Record),
 	}
 }
 
@@ -95,6 +99,7 @@
 		i.setActive(now)
 	}
 	i.state.Completed(now, run)
+	i.abandoned.Completed(run)
 }
 
 // runOf returns the run of a request at a target. A target of one service may run a request
@@ -158,7 +163,7 @@
 	}
 }
 
-// confirmLoss probes a target whose connections broke. If the probe fails, the requests
+// confirmLoss probes a target whose connections broke. If it refuses the probe, the requests
 // that were in flight there are suspected.
 func (i *Inspector) confirmLoss(ctx context.Context, target registrar.Record) {
 	if !i.timers.Sleep(ctx, quarantiner.ProbeDelay) {
@@ -166,32 +171,46 @@
 	}
 	key := incarnation(target)
 	i.mu.Lock()
-	runs := i.broken.Take(i.timers.Now(), key)
+	runs, abandoned := i.broken.Take(i.timers.Now(), key), i.abandoned.Has(key)
 	i.mu.Unlock()
-	if len(runs) == 0 || i.reachable(ctx, target.Address) {
+	if len(runs) == 0 && !abandoned || !i.refuses(ctx, target.Address) {
 		return
 	}
-	i.scope.Counter("targets_lost").Inc(1)
-	i.log.Warn("target lost with requests in flight", zap.String("target", target.ID), zap.String("service", target.Service),
-		zap.String("fingerprints", formatAll(runs)))
+	i.targetLost(target, runs)
+}
+
+// targetLost suspects the requests that were in flight at a lost target, and those that had
+// been given up there.
+func (i *Inspector) targetLost(target registrar.Record, runs []quarantiner.Run) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now := i.timers.Now()
-	for _, run := range runs {
+	now, key := i.timers.Now(), incarnation(target)
+	abandoned := i.abandoned.Take(now, key)
+	if incarnation(i.abandonedAt[target.ID]) == key {
+		delete(i.abandonedAt, target.ID)
+	}
+	i.scope.Counter("targets_lost").Inc(1)
+	i.log.Warn("target lost with requests in flight", zap.String("target", target.ID), zap.String("service", target.Service),
+		zap.String("fingerprints", formatAll(runs)), zap.String("given-up", formatAll(abandoned)))
+	for _, run := range slices.Concat(runs, abandoned) {
 		i.recordLoss(now, quarantiner.Report{Fingerprint: run.Fingerprint, Target: key, Parts: []string{run.Part}}, now.Add(settleTime))
 	}
 }
 
-func (i *Inspector) reachable(ctx context.Context, address netip.AddrPort) bool {
+// refuses reports whether a target refuses connections. A probe without an answer says
+// nothing: a host without power, or behind a partition, is silent, and a crashed process
+// leaves a host that refuses.
+func (i *Inspector) refuses(ctx context.Context, address netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, quarantiner.ProbeTimeout)
 	defer cancel()
 	conn, err := i.dial(ctx, address)
 	if err != nil {
-		// A probe that ended because the process stops says nothing.
-		return errors.Is(context.Cause(ctx), context.Canceled)
+		var network net.Error
+		silent := errors.As(err, &network) && network.Timeout()
+		return !silent && !errors.Is(context.Cause(ctx), context.Canceled)
 	}
 	conn.Close()
-	return true
+	return false
 }
 
 // onlyLossID is the report ID of every loss: a target's incarnation is lost only once.
@@ -213,6 +232,7 @@
 			i.clearReports(now, quarantiner.Report{Fingerprint: e.Fingerprint, Parts: e.Parts})
 		}
 	}
+	i.expireAbandoned(now)
 	suspects, quarantined := i.state.Len()
 	if len(i.reports.Due(now, i.state.Suspected)) > 0 {
 		signal(i.due)
--- a/entry/responder/bench_test.go
+++ b/entry/responder/bench_test.go
@@ -88,7 +88,7 @@
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", address.String())
 	}
-	pools := courier.New(dial, func(string) {}, func(string, bool) {})
+	pools := courier.New(dial, courier.Hooks{})
 	tb.Cleanup(pools.Close)
 	return responder.New(responder.DefaultConfig(), responder.Dependencies{
 		Domain: "a", Directory: dir, Pools: pools, Timers: timer.NewService(), Spans: tracer.Disabled(),
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -169,6 +169,8 @@
 		case got.Result != placer.Answered && got.Broken():
 			broken.Store(true)
 			r.Inspector.Broke(record, fingerprint)
+		case got.GivenUp():
+			r.Inspector.GaveUp(record, fingerprint)
 		case got.Result == placer.Answered:
 			r.Inspector.Completed(record, fingerprint)
 		}
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -41,6 +41,8 @@
 	Completed(target registrar.Record, fingerprint uint64)
 	// Broke records that the connection to a target ended while it may have run a request.
 	Broke(target registrar.Record, fingerprint uint64)
+	// GaveUp records that a request is no longer waited for that a target may still run.
+	GaveUp(target registrar.Record, fingerprint uint64)
 }
 
 // Config holds the time and size limits of requests.
--- a/entry/responder/responder_test.go
+++ b/entry/responder/responder_test.go
@@ -85,7 +85,7 @@
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", address.String())
 	}
-	pools := courier.New(dial, func(string) {}, func(string, bool) {})
+	pools := courier.New(dial, courier.Hooks{})
 	t.Cleanup(pools.Close)
 	fx.Responder = responder.New(responder.DefaultConfig(), responder.Dependencies{
 		Domain: "a", Directory: fx.directory, Pools: pools, Timers: timer.NewService(), Spans: tracer.Disabled(),
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -166,7 +166,10 @@
 func (e *entry) assembleServing() {
 	e.bounds.EntryVMs, e.bounds.Domains = assumedEntryVMs, e.platform.Domains
 	e.setBounds(e.platform)
-	e.pools = courier.New(dial, func(event string) { e.metrics.Scope.Counter("connections_" + event).Inc(1) }, e.setReachable)
+	e.pools = courier.New(dial, courier.Hooks{
+		Count:        func(event string) { e.metrics.Scope.Counter("connections_" + event).Inc(1) },
+		SetReachable: e.setReachable, Ended: e.inspector.ConnectionEnded,
+	})
 	config := responder.DefaultConfig()
 	config.Query.CallerTime = e.own.CallerTime
 	e.responder = responder.New(config, responder.Dependencies{
@@ -213,6 +216,7 @@
 
 func (e *entry) onTarget(event registrar.Event) {
 	record := event.Record
+	e.inspector.TargetChanged(event)
 	switch event.Change {
 	case registrar.Removed, registrar.Drained, registrar.Vacated:
 		e.pools.Retire(record.ID)
@@ -277,6 +281,9 @@
 		e.log.Info("target reachability", zap.String("target", target), zap.Bool("reachable", reachable))
 	}
 	e.placer.SetReachable(target, reachable)
+	if !reachable {
+		e.inspector.ConnectionEnded(target)
+	}
 }
 
 // targetKeepAlive detects dead connections to targets about three seconds after the
