Send nothing again under a request that has crashed a target

A new poison request ended up to two targets of each shard with its first attempt, by hedges and retries, before anything was known of it.

A target that ends the connection is probed at once, no longer 20 ms later, and the request waits for that, 50 ms at most, before anything is hedged or repeated. If the target is gone, nothing more is sent in this attempt. A request under which a target was lost is tried at a single target of such a service first.

--- a/core/forwarder/query.go
+++ b/core/forwarder/query.go
@@ -106,6 +106,7 @@
 	answered int
 	// failedShards is the number of shards that can no longer answer.
 	failedShards      int
+	caution           caution
 	placementFailures PlacementFailures
 	// nextWake caches the result of NextWake while nextWakeStale is unset.
 	// Recomputing it on every answer would take time quadratic in the number of
@@ -136,18 +137,35 @@
 func (q *Query) Start(now time.Time) []Send {
 	if q.placeableShards(now) < q.minShards() {
 		q.countLimited(now)
-		for i := range q.shards {
-			q.failShard(&q.shards[i])
-		}
+		q.failUnstarted()
 		return nil
 	}
+	if q.caution.trying {
+		return q.place(now, q.caution.trial, nil, "trial")
+	}
+	return q.startOthers(now)
+}
+
+// startOthers returns the first sub-requests of the shards that have none.
+func (q *Query) startOthers(now time.Time) []Send {
 	sends := make([]Send, 0, len(q.shards))
 	for i := range q.shards {
-		sends = q.place(now, i, sends, "first")
+		if s := &q.shards[i]; len(s.attempts) == 0 && !s.failed {
+			sends = q.place(now, i, sends, "first")
+		}
 	}
 	return sends
 }
 
+// failUnstarted marks the shards without a sub-request as failed.
+func (q *Query) failUnstarted() {
+	for i := range q.shards {
+		if s := &q.shards[i]; len(s.attempts) == 0 {
+			q.failShard(s)
+		}
+	}
+}
+
 // placeableShards returns the number of shards that have a target. The first sub-requests
 // of a scatter-gather query are sent together, as those of some shards would be useless
 // without the others, so each of its shards needs room at a target at once.
@@ -196,8 +214,12 @@
 	s := &q.shards[i]
 	s.placeRetryAt = time.Time{}
 	q.nextWakeStale = true
-	if !q.mayAttempt(s) {
-		q.failShard(s)
+	if q.caution.holds() && len(s.attempts) > 0 {
+		s.placeRetryAt = now.Add(q.config.PlaceRetryDelay)
+		return sends
+	}
+	if !q.mayAttempt(s) || q.caution.forbids(s) {
+		q.giveUp(s)
 		return sends
 	}
 	placed, ok := q.chooseTarget(now, s)
@@ -207,13 +229,21 @@
 	// Past the cutoff a request no longer waits for a free target or for retry
 	// budget: an immediate failure lets the caller retry at another entry VM.
 	if q.exhausted(s, q.latestLimitedSend(now)) || !now.Before(q.partialCutoff()) {
-		q.failShard(s)
+		q.giveUp(s)
 		return sends
 	}
 	s.placeRetryAt = now.Add(q.config.PlaceRetryDelay)
 	return sends
 }
 
+// giveUp marks a shard as failed and, if it is the trial, those that wait for it.
+func (q *Query) giveUp(s *shard) {
+	q.failShard(s)
+	if q.caution.trying && s.failed {
+		q.failUnstarted()
+	}
+}
+
 // failShard marks a shard as failed unless an attempt is still in flight.
 func (q *Query) failShard(s *shard) {
 	if !s.failed && s.inFlight() == 0 {
@@ -283,20 +313,20 @@
 }
 
 // Answered records a successful answer of a shard and reports whether it is the
-// shard's first.
-func (q *Query) Answered(shard, attempt int) bool {
+// shard's first. It returns the sub-requests that waited for it.
+func (q *Query) Answered(now time.Time, shard, attempt int) (first bool, sends []Send) {
 	s := &q.shards[shard]
 	s.attempts[attempt].ended = true
 	s.mayHaveRun = true
 	if s.answered {
-		return false
+		return false, nil
 	}
 	s.answered = true
 	q.answered++
 	if partialCutoff := q.partialCutoff(); q.answered == q.minShards() && partialCutoff.Before(q.nextWake) {
 		q.nextWake = partialCutoff
 	}
-	return true
+	return true, q.trialAnswered(now, shard)
 }
 
 // Failed records the end of an attempt without a successful answer and returns
@@ -347,7 +377,7 @@
 }
 
 func (q *Query) hedgeAt(s *shard) (time.Time, bool) {
-	if s.answered || s.failed || !q.route.Idempotent || !q.mayAttempt(s) {
+	if s.answered || s.failed || !q.route.Idempotent || !q.mayAttempt(s) || q.caution.forbidsHedges() {
 		return time.Time{}, false
 	}
 	last := len(s.attempts) - 1
--- a/core/quarantiner/broken.go
+++ b/core/quarantiner/broken.go
@@ -4,7 +4,8 @@
 
 // Times for confirming the loss of a target whose connections broke.
 const (
-	// ProbeDelay lets all requests in flight at a lost target fail before it is probed.
+	// ProbeDelay lets all requests in flight at a lost target fail before it is probed, if
+	// none of them waits for the probe.
 	ProbeDelay = 20 * time.Millisecond
 	// ProbeTimeout limits the probe of a target.
 	ProbeTimeout = 250 * time.Millisecond
--- a/entry/inspector/abandoned.go
+++ b/entry/inspector/abandoned.go
@@ -25,8 +25,8 @@
 	target, ok := i.abandonedAt[id]
 	i.mu.Unlock()
 	if ok {
-		// A target for which the queue has no room is probed when the next connection ends.
-		i.losses.Put(target)
+		// Beyond the limit of probes, the target is probed when the next connection ends.
+		i.startProbe(target)
 	}
 }
 
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -21,7 +22,6 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"jackdawcart.org/core/buffer"
 	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/timer"
@@ -39,8 +39,14 @@
 	// relayDelay is the time after which a loss that another VM of the failure domain
 	// reported is published by this one, because the other one cannot.
 	relayDelay = time.Second
-	// lossQueueSize limits the targets that wait for a probe.
-	lossQueueSize = 256
+	// maxProbes limits the targets that are probed at a time.
+	maxProbes = 256
+	// maxExplainTime is how long a request waits to know what became of a target: several
+	// round trips between failure domains.
+	maxExplainTime = 50 * time.Millisecond
+	// lostTargetTime is how long a lost target is remembered, for requests whose connections
+	// break after its probe.
+	lostTargetTime = 5 * time.Second
 )
 
 // Dialer opens connections to targets.
@@ -52,7 +58,8 @@
 	timers *timer.Service
 	scope  tally.Scope
 	log    *zap.Logger
-	losses *buffer.Ring[registrar.Record]
+	// probes has an element for each running probe.
+	probes chan struct{}
 	// active is signalled when something has to be evaluated soon, due when there are
 	// reports to publish.
 	active, due chan struct{}
@@ -64,6 +71,11 @@
 	// abandoned holds the runs that were given up, and abandonedAt their targets by ID.
 	abandoned   quarantiner.AbandonedRuns
 	abandonedAt map[string]registrar.Record
+	// waiting holds the callbacks of the requests that broke, by the incarnation of their
+	// target.
+	waiting map[string][]func(crashed bool)
+	// lostAt holds when targets were found to be lost, by incarnation.
+	lostAt map[string]time.Time
 	// activeUntil is the end of the frequent evaluations.
 	activeUntil time.Time
 }
@@ -72,11 +84,12 @@
 func New(dial Dialer, timers *timer.Service, scope tally.Scope, log *zap.Logger) *Inspector {
 	return &Inspector{
 		dial: dial, timers: timers, scope: scope, log: log,
-		losses:  buffer.NewRing[registrar.Record](lossQueueSize),
+		probes:  make(chan struct{}, maxProbes),
 		active:  make(chan struct{}, 1),
 		due:     make(chan struct{}, 1),
 		state:   quarantiner.New(quarantiner.DefaultConfig()),
 		reports: quarantiner.NewReports(), abandonedAt: make(map[string]registrar.Record),
+		waiting: make(map[string][]func(bool)), lostAt: make(map[string]time.Time),
 	}
 }
 
@@ -88,6 +101,14 @@
 	return i.state.Quarantined(i.timers.Now(), fingerprint)
 }
 
+// SuspectedParts returns the services whose targets were lost under a request and have not
+// answered it since.
+func (i *Inspector) SuspectedParts(fingerprint uint64) []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.SuspectedParts(fingerprint)
+}
+
 // Completed records that a target has run a request to its end.
 func (i *Inspector) Completed(target registrar.Record, fingerprint uint64) {
 	i.mu.Lock()
@@ -123,12 +144,46 @@
 }
 
 // Broke records that the connection to a target ended while it may have run a request.
-func (i *Inspector) Broke(target registrar.Record, fingerprint uint64) {
+// explain is called soon with whether the target is known to have crashed.
+func (i *Inspector) Broke(target registrar.Record, fingerprint uint64, explain func(crashed bool)) {
+	key, run := incarnation(target), runOf(target, fingerprint)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	now, key := i.timers.Now(), incarnation(target)
-	if i.broken.Add(now, key, runOf(target, fingerprint)) && !i.losses.Put(target) {
+	now := i.timers.Now()
+	if _, lost := i.lostAt[key]; lost {
+		i.recordLostRuns(now, key, []quarantiner.Run{run})
+		go explain(true)
+		return
+	}
+	i.waiting[key] = append(i.waiting[key], explain)
+	if i.broken.Add(now, key, run) && !i.startProbe(target) {
 		i.broken.Take(now, key)
+		go i.explain(key, false)
+	}
+}
+
+// startProbe probes a target in the background, unless too many probes are running.
+func (i *Inspector) startProbe(target registrar.Record) bool {
+	select {
+	case i.probes <- struct{}{}:
+	default:
+		return false
+	}
+	go func() {
+		defer func() { <-i.probes }()
+		i.confirmLoss(context.Background(), target)
+	}()
+	return true
+}
+
+// explain calls the waiting callbacks of a target.
+func (i *Inspector) explain(key string, crashed bool) {
+	i.mu.Lock()
+	waiting := i.waiting[key]
+	delete(i.waiting, key)
+	i.mu.Unlock()
+	for _, f := range waiting {
+		f(crashed)
 	}
 }
 
@@ -138,7 +193,7 @@
 	return strconv.FormatUint(xxhash.Sum64String(target.ID+"@"+target.Born.UTC().Format(time.RFC3339Nano)), 16)
 }
 
-// Run probes targets and evaluates suspected requests until the context ends.
+// Run evaluates suspected requests until the context ends.
 func (i *Inspector) Run(ctx context.Context) {
 	tick := i.timers.After(idlePeriod)
 	defer tick.Stop()
@@ -155,8 +210,6 @@
 				period = activePeriod
 				tick.Reset(period)
 			}
-		case target := <-i.losses.C():
-			go i.confirmLoss(ctx, target)
 		case <-ctx.Done():
 			return
 		}
@@ -164,19 +217,28 @@
 }
 
 // confirmLoss probes a target whose connections broke. If it refuses the probe, the requests
-// that were in flight there are suspected.
+// that were in flight there are suspected. Requests don't wait for long for a probe without
+// an answer.
 func (i *Inspector) confirmLoss(ctx context.Context, target registrar.Record) {
-	if !i.timers.Sleep(ctx, quarantiner.ProbeDelay) {
-		return
-	}
 	key := incarnation(target)
+	refused := make(chan bool, 1)
+	go func() { refused <- i.refuses(ctx, target.Address) }()
+	wait := i.timers.After(maxExplainTime)
+	defer wait.Stop()
+	crashed := false
+	select {
+	case crashed = <-refused:
+	case <-wait.C:
+		i.explain(key, false)
+		crashed = <-refused
+	}
 	i.mu.Lock()
 	runs, abandoned := i.broken.Take(i.timers.Now(), key), i.abandoned.Has(key)
 	i.mu.Unlock()
-	if len(runs) == 0 && !abandoned || !i.refuses(ctx, target.Address) {
-		return
+	if crashed && (len(runs) > 0 || abandoned) {
+		i.targetLost(target, runs)
 	}
-	i.targetLost(target, runs)
+	i.explain(key, crashed)
 }
 
 // targetLost suspects the requests that were in flight at a lost target, and those that had
@@ -185,6 +247,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now, key := i.timers.Now(), incarnation(target)
+	i.lostAt[key] = now
 	abandoned := i.abandoned.Take(now, key)
 	if incarnation(i.abandonedAt[target.ID]) == key {
 		delete(i.abandonedAt, target.ID)
@@ -192,7 +255,12 @@
 	i.scope.Counter("targets_lost").Inc(1)
 	i.log.Warn("target lost with requests in flight", zap.String("target", target.ID), zap.String("service", target.Service),
 		zap.String("fingerprints", formatAll(runs)), zap.String("given-up", formatAll(abandoned)))
-	for _, run := range slices.Concat(runs, abandoned) {
+	i.recordLostRuns(now, key, slices.Concat(runs, abandoned))
+}
+
+// recordLostRuns records the loss of a target under runs. The caller holds mu.
+func (i *Inspector) recordLostRuns(now time.Time, key string, runs []quarantiner.Run) {
+	for _, run := range runs {
 		i.recordLoss(now, quarantiner.Report{Fingerprint: run.Fingerprint, Target: key, Parts: []string{run.Part}}, now.Add(settleTime))
 	}
 }
@@ -206,8 +274,7 @@
 	conn, err := i.dial(ctx, address)
 	if err != nil {
 		var network net.Error
-		silent := errors.As(err, &network) && network.Timeout()
-		return !silent && !errors.Is(context.Cause(ctx), context.Canceled)
+		return !errors.As(err, &network) || !network.Timeout()
 	}
 	conn.Close()
 	return false
@@ -233,6 +300,7 @@
 		}
 	}
 	i.expireAbandoned(now)
+	maps.DeleteFunc(i.lostAt, func(_ string, at time.Time) bool { return now.Sub(at) > lostTargetTime })
 	suspects, quarantined := i.state.Len()
 	if len(i.reports.Due(now, i.state.Suspected)) > 0 {
 		signal(i.due)
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -46,6 +46,8 @@
 	// broken is set once the connection to a target ended before it had run the request to
 	// its end, also after the call.
 	broken atomic.Bool
+	// crashed is set once a target is known to have crashed under the request.
+	crashed bool
 	// subRequests holds every sub-request for the log line at the end.
 	subRequests []subRequest
 }
@@ -64,8 +66,31 @@
 	shard, attempt int
 	target         string
 	reply          courier.Reply
+	fate           fate
 }
 
+// fate is what is known of a target that ended the connection before its answer.
+type fate int
+
+const (
+	// answered targets have not ended the connection, or it doesn't matter why.
+	answered fate = iota
+	// unexplained targets are being probed. Another reply follows.
+	unexplained
+	alive
+	crashed
+)
+
+func fateOf(hasCrashed bool) fate {
+	if hasCrashed {
+		return crashed
+	}
+	return alive
+}
+
+// repliesPerAttempt is the largest number of replies to one sub-request.
+const repliesPerAttempt = 2
+
 // lagsPerAnswer is how often the scheduling lag of the process delays a request
 // outside of run: when it is read and when its answer is written.
 const lagsPerAnswer = 2
@@ -78,7 +103,7 @@
 func (c *call) run(ctx context.Context, request *http.Request) forwarder.Decision {
 	r := c.responder
 	c.encode(request)
-	c.replies = make(chan *reply, len(c.services)*(max(c.route.MaxAttempts, 1)+r.config.Query.MaxUnsentAttempts))
+	c.replies = make(chan *reply, repliesPerAttempt*len(c.services)*(max(c.route.MaxAttempts, 1)+r.config.Query.MaxUnsentAttempts))
 	config := r.config.Query
 	// The lag delayed the reading of the request and will delay writing the answer.
 	config.CallerTime += lagsPerAnswer * r.lag.Estimate()
@@ -86,6 +111,7 @@
 		config.CallerTime += hopTime
 	}
 	c.query = forwarder.New(config, r.Placer, r.Directory, c.table, c.route, c.services, c.arrived, c.deadline)
+	c.query.TryFirst(r.Inspector.SuspectedParts(c.fingerprint))
 	c.subRequests = make([]subRequest, 0, len(c.services)+len(c.services)/4)
 	c.exchanges = make([]*courier.Exchange, 0, cap(c.subRequests))
 	c.parts = make([]courier.Reply, 0, len(c.services))
@@ -165,16 +191,24 @@
 		r.heard(got)
 		r.Placer.Ended(r.Timers.Now(), route, latencyObjective, s.Placement, got.Result)
 		r.observeLimit(s.Placement, got)
+		answer := reply{shard: s.Shard, attempt: s.Attempt, target: record.ID, reply: got}
 		switch {
 		case got.Result != placer.Answered && got.Broken():
 			broken.Store(true)
-			r.Inspector.Broke(record, fingerprint)
+			answer.fate = unexplained
+			replies <- &answer
+			r.Inspector.Broke(record, fingerprint, func(hasCrashed bool) {
+				explained := answer
+				explained.fate = fateOf(hasCrashed)
+				replies <- &explained
+			})
+			return
 		case got.GivenUp():
 			r.Inspector.GaveUp(record, fingerprint)
 		case got.Result == placer.Answered:
 			r.Inspector.Completed(record, fingerprint)
 		}
-		replies <- &reply{shard: s.Shard, attempt: s.Attempt, target: record.ID, reply: got}
+		replies <- &answer
 	})
 	c.exchanges = append(c.exchanges, exchange)
 }
@@ -184,15 +218,28 @@
 
 func (c *call) receive(got *reply) {
 	now := c.responder.Timers.Now()
+	switch got.fate {
+	case unexplained:
+		c.query.Broke()
+		c.recordResult(got, got.reply.Result, now)
+		return
+	case alive, crashed:
+		c.crashed = c.crashed || got.fate == crashed
+		c.send(now, c.query.Explained(now, got.shard, got.attempt, got.fate == crashed))
+		return
+	case answered:
+	}
 	result := got.reply.Result
 	if result == placer.Answered && c.route.Gathers() && !isPart(got.reply) {
 		result = placer.Failed
 	}
 	c.recordResult(got, result, now)
 	if result == placer.Answered {
-		if c.query.Answered(got.shard, got.attempt) {
+		first, sends := c.query.Answered(now, got.shard, got.attempt)
+		if first {
 			c.parts = append(c.parts, got.reply)
 		}
+		c.send(now, sends)
 		return
 	}
 	if result == placer.Failed && got.reply.Err == nil {
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -39,8 +39,11 @@
 	Quarantined(fingerprint uint64) time.Duration
 	// Completed records that a target has run a request to its end.
 	Completed(target registrar.Record, fingerprint uint64)
-	// Broke records that the connection to a target ended while it may have run a request.
-	Broke(target registrar.Record, fingerprint uint64)
+	// SuspectedParts returns the services whose targets were lost under a request.
+	SuspectedParts(fingerprint uint64) []string
+	// Broke records that the connection to a target ended while it may have run a request,
+	// and calls explain with whether the target is known to have crashed.
+	Broke(target registrar.Record, fingerprint uint64, explain func(crashed bool))
 	// GaveUp records that a request is no longer waited for that a target may still run.
 	GaveUp(target registrar.Record, fingerprint uint64)
 }
--- a/entry/runner/fleet_test.go
+++ b/entry/runner/fleet_test.go
@@ -226,6 +226,20 @@
 	}
 }
 
+// logs returns the logs of all VMs.
+func (fx *fleet) logs(t *testing.T) string {
+	t.Helper()
+	var all []byte
+	for _, v := range fx.vms {
+		text, err := os.ReadFile(v.log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, text...)
+	}
+	return string(all)
+}
+
 // do sends a request to a VM and returns the status of the answer.
 func (fx *fleet) do(t *testing.T, vm int, method, path, id string) int {
 	t.Helper()
--- /dev/null
+++ b/entry/runner/sound_test.go
@@ -0,0 +1,121 @@
+package runner_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"jackdawcart.org/platform/standin"
+)
+
+// loadCounts counts the answers to sound requests.
+type loadCounts struct {
+	mu                         sync.Mutex
+	sent, refused, quarantined int
+}
+
+// sendSound sends sound requests from several callers until the end, a few equal ones again
+// and again, and returns the share that was refused, and of those the ones in quarantine.
+func sendSound(t *testing.T, fx *fleet, length time.Duration) *loadCounts {
+	t.Helper()
+	const callers, distinct = 9, 30
+	counts := &loadCounts{}
+	var running sync.WaitGroup
+	for k := range callers {
+		running.Go(func() {
+			for n, end := 0, time.Now().Add(length); time.Now().Before(end); n++ {
+				path := soundPath((k + callers*n) % distinct)
+				status := fx.do(t, (k+n)%len(fx.vms), http.MethodGet, path, fmt.Sprintf("sound-%d-%d", k, n))
+				counts.mu.Lock()
+				counts.sent++
+				if status == http.StatusServiceUnavailable {
+					counts.refused++
+				}
+				counts.mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	for _, line := range strings.Split(fx.logs(t), "\n") {
+		if strings.Contains(line, "reason=quarantined") {
+			counts.quarantined++
+		}
+	}
+	return counts
+}
+
+func soundPath(i int) string {
+	if i%3 == 0 {
+		return fmt.Sprintf("/often/sound-%d", i)
+	}
+	return fmt.Sprintf("/all/sound-%d", i)
+}
+
+// Targets that are killed, one at random after the other, all of a service at once, or all
+// of a rack at once, must not put sound requests that were in flight there under quarantine.
+func TestSoundRequestsSurviveCrashes(t *testing.T) {
+	const serviceTime, length = 30 * time.Millisecond, 4 * time.Second
+	cases := []struct {
+		name string
+		// kills returns the targets to crash in each of several rounds.
+		kills func(round int, targets []*standin.Target) []*standin.Target
+	}{
+		{"one at random after the other", func(round int, targets []*standin.Target) []*standin.Target {
+			return targets[round*7%len(targets) : round*7%len(targets)+1]
+		}},
+		{"a service restarts", func(round int, targets []*standin.Target) []*standin.Target {
+			return ofService(targets, fmt.Sprintf("shard-%d", round%shardCount))
+		}},
+		{"a rack is lost", func(round int, targets []*standin.Target) []*standin.Target {
+			var rack []*standin.Target
+			for i, target := range targets {
+				if i%replicasPerService == round%replicasPerService {
+					rack = append(rack, target)
+				}
+			}
+			return rack
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fleet := newFleet(t, 3)
+			fleet.crashOn(standin.Poison{})
+			for _, target := range fleet.running() {
+				target.Set(standin.Healthy, serviceTime)
+			}
+			kills := time.AfterFunc(length/8, func() {
+				for round := range 4 {
+					for _, target := range c.kills(round, fleet.running()) {
+						target.Crash()
+					}
+					time.Sleep(length / 6)
+				}
+			})
+			defer kills.Stop()
+			counts := sendSound(t, fleet, length)
+			t.Logf("%d sent, %d refused, %d of them in quarantine; %d targets crashed", counts.sent, counts.refused, counts.quarantined, len(fleet.crashTimes()))
+			if counts.quarantined > counts.sent/500 {
+				t.Errorf("%d of %d sound requests were refused in quarantine", counts.quarantined, counts.sent)
+			}
+			time.Sleep(time.Second)
+			for i := range 30 {
+				if status := fleet.do(t, i%3, http.MethodGet, soundPath(i), fmt.Sprint("after-", i)); status != http.StatusOK {
+					t.Errorf("%s is answered with %d after the crashes", soundPath(i), status)
+				}
+			}
+		})
+	}
+}
+
+func ofService(targets []*standin.Target, service string) []*standin.Target {
+	var of []*standin.Target
+	for _, target := range targets {
+		if target.Service == service {
+			of = append(of, target)
+		}
+	}
+	return of
+}
