Heed targets that leave or ask for a pause in their answers

A target that leaves got requests until the store knew of it: 140 later than 3 s after its first answer that said so. Targets that refused with Retry-After got 7 to 218 requests each during the pause.

Cause: the headers were not read. core/placer now keeps what a target says itself, beside its limit: that it leaves, for this start of it, told to the neighbours with the evidence; and a pause, for this VM. Neither is placed any more, requests that wait for a connection there go elsewhere, and a query without enough shards is refused at once with what is left of the pause. After a pause one request probes the target. Such refusals don't throttle an index.

--- a/core/forwarder/forwarder_test.go
+++ b/core/forwarder/forwarder_test.go
@@ -28,8 +28,17 @@
 	roomAt map[string]time.Time
 }
 
-func (f *fakePlacer) Available(target string, by time.Time) bool {
-	return !f.unreachable[target] && !by.Before(f.roomAt[target])
+func (f *fakePlacer) Available(target registrar.Record, by time.Time) bool {
+	return !f.unreachable[target.ID] && !by.Before(f.roomAt[target.ID])
+}
+
+func (f *fakePlacer) AvailableAt(targets []registrar.Record) (first time.Time, ok bool) {
+	for _, target := range targets {
+		if at := f.roomAt[target.ID]; !f.unreachable[target.ID] && (!ok || at.Before(first)) {
+			first, ok = at, true
+		}
+	}
+	return first, ok
 }
 
 func (f *fakePlacer) Place(now time.Time, r placer.Request) (placer.Placement, placer.Outcome) {
@@ -37,7 +46,7 @@
 		return placer.Placement{}, placer.NoTarget
 	}
 	for _, record := range r.Targets {
-		tried := !f.Available(record.ID, now)
+		tried := !f.Available(record, now)
 		for _, id := range r.Avoid {
 			tried = tried || id == record.ID
 		}
--- a/core/forwarder/query.go
+++ b/core/forwarder/query.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"jackdawcart.org/core/pacer"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
@@ -18,7 +17,10 @@
 	Place(now time.Time, r placer.Request) (placer.Placement, placer.Outcome)
 	HedgeAt(route string, latencyObjective time.Duration, placed placer.Placement) time.Time
 	// Available reports whether a sub-request can be sent to a target by the given time.
-	Available(target string, by time.Time) bool
+	Available(target registrar.Record, by time.Time) bool
+	// AvailableAt returns when one of the targets can be sent a sub-request, and false if
+	// none is known to.
+	AvailableAt(targets []registrar.Record) (time.Time, bool)
 }
 
 // Directory lists the targets of a service that accept new requests.
@@ -188,16 +190,35 @@
 func (q *Query) countLimited(now time.Time) {
 	for i := range q.shards {
 		s := &q.shards[i]
-		if q.exhausted(s, now) && !q.exhausted(s, now.Add(pacer.MaxInterval)) {
+		if q.exhausted(s, now) && !q.exhausted(s, now.Add(maxLimitedTime)) {
 			q.placementFailures.Limited++
 		}
 	}
 }
 
+// RetryAt returns when enough shards have a target with room again that is known to have
+// none now, as far as the targets have said. It is the zero time if no target has.
+func (q *Query) RetryAt() time.Time {
+	var times []time.Time
+	for i := range q.shards {
+		if at, ok := q.targetPlacer.AvailableAt(q.directory.Targets(q.shards[i].service)); ok {
+			times = append(times, at)
+		}
+	}
+	if len(times) < q.minShards() {
+		return time.Time{}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times[q.minShards()-1]
+}
+
 // limitWaitShare is the part of the latency objective for which a request waits until the
 // limit of a target leaves room. Later, it is better for the caller to know.
 const limitWaitShare = 0.25
 
+// maxLimitedTime is longer than the word of a target keeps requests away from it.
+const maxLimitedTime = time.Hour
+
 // latestLimitedSend returns the time until which the request waits for the limit of a
 // target.
 func (q *Query) latestLimitedSend(now time.Time) time.Time {
@@ -257,7 +278,7 @@
 func (q *Query) exhausted(s *shard, by time.Time) bool {
 	targets := q.directory.Targets(s.service)
 	for _, t := range targets {
-		if !slices.Contains(s.tried, t.ID) && q.targetPlacer.Available(t.ID, by) {
+		if !slices.Contains(s.tried, t.ID) && q.targetPlacer.Available(t, by) {
 			return false
 		}
 	}
--- a/core/placer/evidence.go
+++ b/core/placer/evidence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jackdawcart.org/core/pacer"
+	"jackdawcart.org/core/registrar"
 )
 
 // Evidence summarizes how the recent sub-requests of one VM to a target
@@ -22,12 +23,15 @@
 	// Limit is what the last one says.
 	LimitObserved bool
 	Limit         pacer.Limit
+	// Leaving is true if the start of the target at the time Born has said that it leaves.
+	Leaving bool
+	Born    time.Time
 }
 
 // recordEvidence adds the result of a sub-request of this process to the
 // evidence that TakeEvidence returns.
 func (p *Placer) recordEvidence(placed Placement, failed bool, normalized time.Duration) {
-	e := p.pendingEvidence(placed)
+	e := p.pendingEvidence(placed.target, placed.Record)
 	if failed {
 		e.Failed++
 		return
@@ -38,16 +42,14 @@
 }
 
 func (p *Placer) addLimitEvidence(placed Placement, limit pacer.Limit) {
-	e := p.pendingEvidence(placed)
+	e := p.pendingEvidence(placed.target, placed.Record)
 	e.LimitObserved, e.Limit = true, limit
 }
 
-// pendingEvidence returns the evidence about the target of a sub-request that TakeEvidence
-// will return.
-func (p *Placer) pendingEvidence(placed Placement) *Evidence {
-	t := placed.target
+// pendingEvidence returns the evidence about a target that TakeEvidence will return.
+func (p *Placer) pendingEvidence(t *target, record registrar.Record) *Evidence {
 	if t.pendingEvidence == nil {
-		t.pendingEvidence = &Evidence{Service: placed.Record.Service, Target: placed.Record.ID}
+		t.pendingEvidence = &Evidence{Service: record.Service, Target: record.ID}
 		p.unreported = append(p.unreported, t)
 	}
 	return t.pendingEvidence
@@ -78,6 +80,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range evidence {
+		if e.Leaving {
+			p.leaving.add(e.Target, e.Born)
+		}
 		t, known := p.targets[e.Target]
 		s, used := p.services[e.Service]
 		if !known || !used {
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -54,9 +54,12 @@
 	}
 }
 
-// withoutRoom reports whether the limit of a target leaves no room for a request now. Hedges
+// withoutRoom reports whether the limit of a target, or the pause that it wants, leaves no room for a request now. Hedges
 // leave what little room there is to requests that have no other target.
 func (p *Placer) withoutRoom(now time.Time, t *target, r Request) bool {
+	if t.pause.forbids(now) {
+		return true
+	}
 	if r.Hedge {
 		return !t.pace.Full(now)
 	}
@@ -64,10 +67,10 @@
 }
 
 // Available reports whether a sub-request can be sent to a target by the given time: new
-// connections to it succeed, and its limit leaves room.
-func (p *Placer) Available(id string, by time.Time) bool {
+// connections to it succeed, it neither leaves nor wants a pause, and its limit leaves room.
+func (p *Placer) Available(record registrar.Record, by time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.target(id)
-	return !t.unreachable && !by.Before(t.pace.NextAt(p.config.Pacer))
+	t := p.target(record.ID)
+	return !t.unreachable && !p.leaving.has(record.ID, record.Born) && !t.pause.forbids(by) && !by.Before(t.pace.NextAt(p.config.Pacer))
 }
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -63,6 +63,8 @@
 	IdleTimeout time.Duration
 	// loadFactor is what selector.State.Started returned for the sub-request.
 	loadFactor float64
+	// probeUntil is what pause.begin returned for the sub-request.
+	probeUntil time.Time
 	target     *target
 }
 
@@ -81,6 +83,7 @@
 	routes   map[string]*route
 	// limited holds the IDs of the targets that have named a limit.
 	limited container.Set[string]
+	leaving leaving
 	// firstPlacedAt is the time of the first sub-request.
 	firstPlacedAt time.Time
 	// unreported lists the targets with evidence that TakeEvidence has not
@@ -122,6 +125,7 @@
 	// unreachable is true if the last connection attempt failed.
 	unreachable bool
 	pace        pacer.State
+	pause       pause
 	// pendingEvidence is what TakeEvidence has not returned yet; nil if there
 	// is none.
 	pendingEvidence *Evidence
@@ -142,6 +146,7 @@
 		targets:  make(map[string]*target),
 		routes:   make(map[string]*route),
 		limited:  container.NewSet[string](),
+		leaving:  make(leaving),
 	}
 }
 
@@ -197,7 +202,7 @@
 	t.pace.Take(p.config.Pacer, now)
 	loadFactor := s.selectorState.Started(now, p.candidate(record, kept, i), "")
 	idleTimeout := p.idleTimeout(now, kept, i, r.MaxConnections)
-	return Placement{Record: record, Started: now, IdleTimeout: idleTimeout, loadFactor: loadFactor, target: t}, Placed
+	return Placement{Record: record, Started: now, IdleTimeout: idleTimeout, loadFactor: loadFactor, probeUntil: t.pause.begin(now), target: t}, Placed
 }
 
 func (p *Placer) choose(now time.Time, s *service, r Request, kept keptTargets) (int, bool) {
@@ -205,8 +210,14 @@
 	for i, record := range r.Targets {
 		candidates[i] = p.candidate(record, kept, i)
 	}
+	leaves := make(map[string]bool)
+	for _, record := range r.Targets {
+		if p.leaving.has(record.ID, record.Born) {
+			leaves[record.ID] = true
+		}
+	}
 	excluded := func(id string) bool {
-		return p.unavailable(id, r) || p.withoutRoom(now, p.target(id), r)
+		return leaves[id] || p.unavailable(id, r) || p.withoutRoom(now, p.target(id), r)
 	}
 	failureRateLimit := p.maxFailureRate(now, r.Targets, excluded)
 	unfit := func(id string) bool {
@@ -230,7 +241,7 @@
 // missingTarget returns the reason why no target was chosen.
 func (p *Placer) missingTarget(now time.Time, r Request) Outcome {
 	for _, record := range r.Targets {
-		if !p.unavailable(record.ID, r) && p.withoutRoom(now, p.target(record.ID), r) {
+		if !p.leaving.has(record.ID, record.Born) && !p.unavailable(record.ID, r) && p.withoutRoom(now, p.target(record.ID), r) {
 			return Limited
 		}
 	}
@@ -271,6 +282,7 @@
 	s := p.service(now, placed.Record.Service)
 	t, id := placed.target, placed.Record.ID
 	t.inFlight--
+	t.pause.probed(placed.probeUntil)
 	latency := now.Sub(placed.Started)
 	r := p.route(route, latencyObjective)
 	r.usedAt = now
--- a/entry/courier/error.go
+++ b/entry/courier/error.go
@@ -24,6 +24,8 @@
 	// KindRetired means that the pool of the target was closed, because the target
 	// was retired or has a new address, or the process stops.
 	KindRetired Kind = "retired"
+	// KindPaused means that the target wants no requests for a while.
+	KindPaused Kind = "paused"
 	// KindCancelled means that no connection was free in the time that the sender waited.
 	KindCancelled Kind = "cancelled"
 )
@@ -46,3 +48,5 @@
 var errCancelled = &Error{Op: "send", Kind: KindCancelled, Err: errors.New("no connection in time")}
 
 var errRetired = &Error{Op: "send", Kind: KindRetired, Err: errors.New("the connection pool of the target is closed")}
+
+var errPaused = &Error{Op: "send", Kind: KindPaused, Err: errors.New("the target has asked for a pause")}
--- a/entry/courier/exchange.go
+++ b/entry/courier/exchange.go
@@ -193,6 +193,17 @@
 	}
 }
 
+// FailQueued fails the requests that wait for a connection to a target. Those that are being
+// sent go on.
+func (c *Pools) FailQueued(id string) {
+	c.mu.Lock()
+	p, ok := c.pools[id]
+	c.mu.Unlock()
+	if ok {
+		p.failWaiting()
+	}
+}
+
 // Close retires all targets.
 func (c *Pools) Close() {
 	c.mu.Lock()
--- a/entry/courier/pool.go
+++ b/entry/courier/pool.go
@@ -242,12 +242,7 @@
 	if p.total > 0 || p.closed {
 		return nil, false
 	}
-	unsent = p.queue
-	p.queue = nil
-	for _, e := range unsent {
-		e.state = ended
-	}
-	return unsent, true
+	return p.takeQueue(), true
 }
 
 // Pauses before an unreachable target is dialed again.
@@ -319,6 +314,26 @@
 	}
 }
 
+// failWaiting fails the queued exchanges.
+func (p *Pool) failWaiting() {
+	p.mu.Lock()
+	unsent := p.takeQueue()
+	p.mu.Unlock()
+	for _, e := range unsent {
+		e.done(Reply{Result: placer.Unsent, Err: errPaused})
+	}
+}
+
+// takeQueue ends and returns the queued exchanges. The caller holds mu.
+func (p *Pool) takeQueue() []*Exchange {
+	unsent := p.queue
+	p.queue = nil
+	for _, e := range unsent {
+		e.state = ended
+	}
+	return unsent
+}
+
 // Close closes idle connections now and the others after their exchange, and fails
 // the queued exchanges.
 func (p *Pool) Close() {
@@ -327,11 +342,7 @@
 	for _, c := range slices.Clone(p.idle) {
 		p.drop(c)
 	}
-	unsent := p.queue
-	p.queue = nil
-	for _, e := range unsent {
-		e.state = ended
-	}
+	unsent := p.takeQueue()
 	p.mu.Unlock()
 	for _, e := range unsent {
 		e.done(Reply{Result: placer.Unsent, Err: errRetired})
--- a/entry/informer/evidence.go
+++ b/entry/informer/evidence.go
@@ -57,5 +57,8 @@
 	if b.LimitObserved {
 		a.LimitObserved, a.Limit = true, b.Limit
 	}
+	if b.Leaving && (!a.Leaving || b.Born.After(a.Born)) {
+		a.Leaving, a.Born = true, b.Born
+	}
 	return a
 }
--- a/entry/informer/frame.go
+++ b/entry/informer/frame.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"jackdawcart.org/core/pacer"
 	"jackdawcart.org/core/placer"
@@ -74,6 +75,9 @@
 			Service: e.Service, Target: e.Target, Answered: uint32(e.Answered), Failed: uint32(e.Failed), Latency: float32(e.Latency),
 			Limit: toLimit(e),
 		}
+		if e.Leaving {
+			list[i].LeavingBorn = timestamppb.New(e.Born)
+		}
 	}
 	return list
 }
@@ -86,6 +90,9 @@
 			Answered: int(e.GetAnswered()), Failed: int(e.GetFailed()), Latency: float64(e.GetLatency()),
 			LimitObserved: e.GetLimit() != nil, Limit: fromLimit(e.GetLimit()),
 		}
+		if born := e.GetLeavingBorn(); born.IsValid() {
+			evidence[i].Leaving, evidence[i].Born = true, born.AsTime()
+		}
 	}
 	return evidence
 }
--- a/entry/responder/admission.go
+++ b/entry/responder/admission.go
@@ -81,13 +81,14 @@
 }
 
 // overloaded reports whether overload made the query fail or late: a full target
-// refused a part of it, and it was not served in time.
+// refused a part of it, and it was not served in time. A target that asks for a pause gets no
+// more queries, so none need be throttled for it.
 func (c *call) overloaded(decision forwarder.Decision, took time.Duration) bool {
 	if c.callerLeft || (decision == forwarder.Complete || decision == forwarder.Partial) && took <= c.route.LatencyObjective {
 		return false
 	}
 	for _, s := range c.subRequests {
-		if !s.ended.IsZero() && s.result == placer.Refused {
+		if !s.ended.IsZero() && s.result == placer.Refused && !s.paused {
 			return true
 		}
 	}
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -59,7 +59,9 @@
 	reason         string
 	sent, ended    time.Time
 	result         placer.Result
-	detail         string
+	// paused is set if the target refused and asked for a pause.
+	paused bool
+	detail string
 }
 
 type reply struct {
@@ -190,7 +192,7 @@
 	exchange := pool.Send(now, request, func(got courier.Reply) {
 		r.heard(got)
 		r.Placer.Ended(r.Timers.Now(), route, latencyObjective, s.Placement, got.Result)
-		r.observeLimit(s.Placement, got)
+		r.observeWord(s.Placement, got)
 		answer := reply{shard: s.Shard, attempt: s.Attempt, target: record.ID, reply: got}
 		switch {
 		case got.Result != placer.Answered && got.Broken():
@@ -263,7 +265,7 @@
 		if s.shard != got.shard || s.attempt != got.attempt {
 			continue
 		}
-		s.ended, s.result = now, result
+		s.ended, s.result, s.paused = now, result, got.reply.Answer.Pause > 0
 		switch {
 		case got.reply.Err != nil:
 			s.detail = got.reply.Err.Error()
@@ -327,10 +329,11 @@
 }
 
 // retryAfter returns when the caller of a request that has not run may try again. If the
-// limits of targets left no room, a retry at once would find none either.
+// limits of targets, or the pauses that they want, left no room, a retry at once would find
+// none either.
 func (c *call) retryAfter() time.Duration {
-	if c.query.PlacementFailures().Limited > 0 {
-		return retryAfterOverload(c.route.LatencyObjective)
+	if c.query.PlacementFailures().Limited == 0 {
+		return forwarder.RetryAfter(c.route.LatencyObjective)
 	}
-	return forwarder.RetryAfter(c.route.LatencyObjective)
+	return max(c.query.RetryAt().Sub(c.responder.Timers.Now()), 0) + retryAfterOverload(c.route.LatencyObjective)
 }
--- a/entry/responder/probe.go
+++ b/entry/responder/probe.go
@@ -52,5 +52,8 @@
 	pool.Send(now, courier.Request{
 		Method: http.MethodGet, Deadline: now.Add(probeTimeout), MaxBodyBytes: r.config.MaxAnswerBytes, AnyAnswer: true,
 		Head: func(time.Duration) []byte { return decoder.HealthCheck(service.HealthPath, target.Address) },
-	}, r.heard)
+	}, func(got courier.Reply) {
+		r.heard(got)
+		r.observeLeaving(target, got)
+	})
 }
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -10,7 +10,6 @@
 	"jackdawcart.org/core/forwarder"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/quarantiner"
-	"jackdawcart.org/entry/courier"
 )
 
 // slowShare is the part of a route's latency objective from which the answer of a
@@ -53,19 +52,6 @@
 	return zap.Int(name, value)
 }
 
-// observeLimit passes on what the answer of a target says about its limit, and logs a
-// change.
-func (r *Responder) observeLimit(placed placer.Placement, got courier.Reply) {
-	if got.Status == 0 || got.Answer.WrongTarget || got.Answer.LimitMalformed {
-		return
-	}
-	if !r.Placer.ObserveLimit(r.Timers.Now(), placed, got.Answer.Limit) {
-		return
-	}
-	r.log.Info("target limit", zap.String("target", placed.Record.ID), zap.String("service", placed.Record.Service),
-		zap.Bool("named", got.Answer.Limit.Named), zap.Float64("per-second", got.Answer.Limit.PerSecond))
-}
-
 // logEnd writes the log line that summarizes a request.
 func (c *call) logEnd(decision forwarder.Decision, status int, took time.Duration) {
 	c.responder.log.Info("request ended",
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -264,7 +264,7 @@
 // preconnectTarget keeps a connection open to a target if a route leads to its
 // service and this VM prefers it. The other targets rarely get a request from this VM.
 func (e *entry) preconnectTarget(table *router.Table, record registrar.Record) {
-	if table == nil || record.Draining || !table.RoutesTo(record.Service) {
+	if table == nil || record.Draining || e.placer.Leaving(record) || !table.RoutesTo(record.Service) {
 		return
 	}
 	service, _ := table.Service(record.Service)
--- a/jackdawctl/investigator/explanation.go
+++ b/jackdawctl/investigator/explanation.go
@@ -155,9 +155,9 @@
 	targets      map[string]*Target
 	vmsByTarget  map[string]map[string]bool
 	stateChanges []Line
-	// limits holds the last line about the limit of each target, if limits left no room
-	// for the request.
-	limits map[string]Line
+	// words holds the last line of each kind about what a target has said that it wants, if
+	// that left no room for the request.
+	words map[word]Line
 	// equalRequests holds the lines about the request's fingerprint, in any order.
 	equalRequests []Line
 }
@@ -165,7 +165,7 @@
 func newCollector(request Line, hops []Line) *collector {
 	c := &collector{
 		request: request, overload: request.Message == messageRefused && request.Value(fieldReason) == reasonOverload,
-		limits: make(map[string]Line), targets: make(map[string]*Target), vmsByTarget: make(map[string]map[string]bool),
+		words: make(map[word]Line), targets: make(map[string]*Target), vmsByTarget: make(map[string]map[string]bool),
 	}
 	c.nodes = map[string]bool{request.Node: true}
 	for _, hop := range hops {
@@ -192,25 +192,44 @@
 		if l.Value(fieldRequest) != c.request.Value(fieldRequest) && l.At.Sub(c.request.At).Abs() <= otherRequestsWindow {
 			c.countOutcomes(l)
 		}
-	case c.isLimit(l):
-		c.limits[l.Value(fieldTarget)] = l
+	case c.isWord(l):
+		c.words[word{l.Message, l.Value(fieldTarget)}] = l
 	case !c.nodes[l.Node] || l.At.After(c.request.At) || c.request.At.Sub(l.At) > stateChangeWindow:
 	case c.isRelevant(l):
 		c.stateChanges = append(c.stateChanges, l)
 	}
 }
 
-// isLimit reports whether a line is about the limit of a target on the request's VM, and
-// limits left no room for the request. Any target may have been the one without room.
-func (c *collector) isLimit(l Line) bool {
-	return c.request.Value(fieldLimited) != "" && l.Message == messageLimit && l.Node == c.request.Node && !l.At.After(c.request.At)
+// word identifies what a target has said: the message of the line, and the target.
+type word struct{ message, target string }
+
+// isWord reports whether a line is about what a target wants from the request's VM, and that
+// left no room for the request. Any target may have been the one without room.
+func (c *collector) isWord(l Line) bool {
+	if c.request.Value(fieldLimited) == "" || l.Node != c.request.Node || l.At.After(c.request.At) {
+		return false
+	}
+	return l.Message == messageLimit || l.Message == messagePause || l.Message == messageLeaving
 }
 
-// sortedStateChanges returns the state changes and the limits in force in the order of
-// time.
+// inForce reports whether what a target has said still holds at a time.
+func inForce(l Line, at time.Time) bool {
+	switch l.Message {
+	case messageLimit:
+		return l.Value(fieldNamed) == "true"
+	case messagePause:
+		pause, err := time.ParseDuration(l.Value(fieldPause))
+		return err == nil && at.Before(l.At.Add(pause))
+	default:
+		return true
+	}
+}
+
+// sortedStateChanges returns the state changes, and what the targets have said as far as it
+// is in force, in the order of time.
 func (c *collector) sortedStateChanges() []Line {
-	for _, l := range c.limits {
-		if l.Value(fieldNamed) == "true" {
+	for _, l := range c.words {
+		if inForce(l, c.request.At) {
 			c.stateChanges = append(c.stateChanges, l)
 		}
 	}
@@ -225,7 +244,12 @@
 	if fingerprint == "" || l.At.After(c.request.At) || l.Value(fieldRequest) == c.request.Value(fieldRequest) {
 		return false
 	}
-	return l.Value(fieldFingerprint) == fingerprint || slices.Contains(strings.Split(l.Value(fieldFingerprints), ","), fingerprint)
+	for _, field := range []string{fieldFingerprint, fieldFingerprints, fieldGivenUp} {
+		if slices.Contains(strings.Split(l.Value(field), ","), fingerprint) {
+			return true
+		}
+	}
+	return false
 }
 
 // latestEqualRequests returns the lines about equal requests in the order of time.
--- a/jackdawctl/investigator/explanation_test.go
+++ b/jackdawctl/investigator/explanation_test.go
@@ -121,7 +121,8 @@
 // lost under equal requests on other VMs. Its own line names no target.
 func TestExplainQuarantine(t *testing.T) {
 	const text = `ts=2026-03-03T10:00:10.000Z level=info msg="request ended" process=entry node=vm-1 request=b fingerprint=7f verdict=unserved troubles="s/i-1 first +0s 3ms lost courier: read: closed: EOF"
-ts=2026-03-03T10:00:10.100Z level=warn msg="target lost with requests in flight" process=entry node=vm-1 target=i-1 fingerprints=5a,7f
+ts=2026-03-03T10:00:10.100Z level=warn msg="target lost with requests in flight" process=entry node=vm-1 target=i-1 fingerprints=5a,7f given-up=
+ts=2026-03-03T10:00:10.150Z level=warn msg="target lost with requests in flight" process=entry node=vm-2 target=i-2 fingerprints= given-up=7f
 ts=2026-03-03T10:00:10.200Z level=info msg="request ended" process=entry node=vm-2 request=c fingerprint=5a verdict=partial
 ts=2026-03-03T10:00:11.000Z level=warn msg="quarantine began" process=entry node=vm-2 fingerprint=7f lost-targets=2
 ts=2026-03-03T10:00:20.000Z level=info msg="request refused" process=entry node=vm-2 request=a reason=quarantined fingerprint=7f
@@ -135,19 +136,22 @@
 	for _, l := range explanation.EqualRequests {
 		got = append(got, l.Node+" "+l.Message)
 	}
-	want := []string{"vm-1 request ended", "vm-1 target lost with requests in flight", "vm-2 quarantine began"}
+	want := []string{"vm-1 request ended", "vm-1 target lost with requests in flight", "vm-2 target lost with requests in flight", "vm-2 quarantine began"}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("equal requests (-want +got):\n%s", diff)
 	}
 }
 
-// For a request that found no room, the explanation must hold the limits that were in
-// force on its VM, however long before they were named.
+// For a request that found no room, the explanation must hold what the targets had said and
+// was in force on its VM, however long before.
 func TestExplainLimits(t *testing.T) {
 	const text = `ts=2026-03-03T10:00:00.000Z level=info msg="target limit" process=entry node=vm-1 target=i-1 named=true per-second=3
 ts=2026-03-03T10:00:01.000Z level=info msg="target limit" process=entry node=vm-1 target=i-2 named=true per-second=4
 ts=2026-03-03T10:00:02.000Z level=info msg="target limit" process=entry node=vm-2 target=i-3 named=true per-second=5
 ts=2026-03-03T10:00:19.000Z level=info msg="target limit" process=entry node=vm-1 target=i-2 named=false per-second=0
+ts=2026-03-03T10:00:03.000Z level=info msg="target says that it leaves" process=entry node=vm-1 target=i-4
+ts=2026-03-03T10:00:04.000Z level=info msg="target asks for a pause" process=entry node=vm-1 target=i-5 pause=20s
+ts=2026-03-03T10:00:05.000Z level=info msg="target asks for a pause" process=entry node=vm-1 target=i-6 pause=1.5s
 ts=2026-03-03T10:00:20.000Z level=info msg="request ended" process=entry node=vm-1 request=a verdict=not-run limited=2 troubles=
 `
 	explanation, err := investigator.Explain(func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader(text)), nil }, "a")
@@ -158,7 +162,7 @@
 	for _, l := range explanation.StateChanges {
 		got = append(got, l.Message+" "+l.Value("target"))
 	}
-	if diff := cmp.Diff([]string{"target limit i-1"}, got); diff != "" {
+	if diff := cmp.Diff([]string{"target limit i-1", "target says that it leaves i-4", "target asks for a pause i-5"}, got); diff != "" {
 		t.Errorf("state changes (-want +got):\n%s", diff)
 	}
 }
--- a/jackdawctl/investigator/line.go
+++ b/jackdawctl/investigator/line.go
@@ -33,6 +33,10 @@
 	// were in flight at a lost target.
 	fieldFingerprint  = "fingerprint"
 	fieldFingerprints = "fingerprints"
+	// fieldGivenUp lists the fingerprints of requests that had been given up at a lost target.
+	fieldGivenUp = "given-up"
+	// fieldPause is how long a target wants no requests.
+	fieldPause = "pause"
 
 	messageEnded   = "request ended"
 	messageRefused = "request refused"
@@ -40,6 +44,8 @@
 	// fieldForVM by VMs that were asked to take it.
 	messageDelegated = "request delegated"
 	messageLimit     = "target limit"
+	messagePause     = "target asks for a pause"
+	messageLeaving   = "target says that it leaves"
 
 	reasonOverload = "overload"
 	// outcomeRefused is the outcome of a sub-request that its target did not run.
