Answer or refuse what comes late in a planned stop

Cause: a request kept its own deadline during the stop, and the process ended with it still running. core/stopper now decides: a request is refused as not run at once if the time until the last answer is shorter than one and a half times what requests of its route usually take, before and after its body is read; what is taken has a deadline before the last answer, and what still runs then is answered.

--- a/core/diverter/neighbours.go
+++ b/core/diverter/neighbours.go
@@ -41,10 +41,15 @@
 }
 
 // Avoid records that a VM could not take a request.
-func (n *Neighbours) Avoid(now time.Time, name string) {
+func (n *Neighbours) Avoid(now time.Time, name string) { n.AvoidFor(now, name, avoidPeriod) }
+
+// AvoidFor records that a VM will not take requests for a time, because it stops.
+func (n *Neighbours) AvoidFor(now time.Time, name string, period time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.avoidUntil[name] = now.Add(avoidPeriod)
+	if until := now.Add(period); until.After(n.avoidUntil[name]) {
+		n.avoidUntil[name] = until
+	}
 }
 
 // maxNearTried is the number of VMs of the own failure domain that are asked before one of
--- a/core/forwarder/decision.go
+++ b/core/forwarder/decision.go
@@ -25,10 +25,7 @@
 	case q.hasEnoughShards() && (pending == 0 || !now.Before(q.partialCutoff())):
 		return Partial
 	case !now.Before(q.deadline):
-		if q.mayHaveRun() {
-			return TimedOut
-		}
-		return NotRun
+		return q.Finish()
 	case q.answered+pending < q.minShards():
 		return q.failureDecision()
 	default:
@@ -36,6 +33,20 @@
 	}
 }
 
+// Finish returns how the request is answered if no more answers are waited for.
+func (q *Query) Finish() Decision {
+	switch {
+	case q.answered == len(q.shards):
+		return Complete
+	case q.hasEnoughShards():
+		return Partial
+	case q.mayHaveRun():
+		return TimedOut
+	default:
+		return NotRun
+	}
+}
+
 func (q *Query) failureDecision() Decision {
 	if q.mayHaveRun() {
 		return FailedMaybeRun
--- a/core/placer/health.go
+++ b/core/placer/health.go
@@ -81,3 +81,15 @@
 	t := p.target(id)
 	return t.capacity > 0 && t.inFlight >= t.capacity
 }
+
+// ExpectedLatency returns the latency that most sub-requests of a route stay below, the
+// latency objective if too few are known.
+func (p *Placer) ExpectedLatency(route string, latencyObjective time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.routes[route]
+	if !ok || r.meanLatency == 0 {
+		return latencyObjective
+	}
+	return max(r.meanLatency, r.hedgerState.Delay())
+}
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -105,6 +105,9 @@
 			outcome.VM, outcome.CallerLeft = m.Name, true
 			return outcome
 		}
+		if left := takeStopping(reply.Header); left > 0 {
+			d.neighbours.AvoidFor(d.timers.Now(), m.Name, left)
+		}
 		unavailable := reply.Header.Get(headerUnavailable)
 		if reply.Err != nil || unavailable != "" && unavailable != ReasonUnreachable {
 			d.neighbours.Avoid(d.timers.Now(), m.Name)
--- a/entry/delegator/hop.go
+++ b/entry/delegator/hop.go
@@ -12,6 +12,7 @@
 	headerVersion     = "Jackdawcart-Version"
 	headerElapsedMs   = "Jackdawcart-Elapsed-Ms"
 	headerUnavailable = "Jackdawcart-Unavailable"
+	headerStoppingMs  = "Jackdawcart-Stopping-Ms"
 )
 
 // Hop is what a VM says of a request that it passes on.
@@ -45,7 +46,7 @@
 
 // RemoveHop removes the headers of a hop, which a caller has no reason to send.
 func RemoveHop(header http.Header) {
-	for _, name := range []string{headerVM, headerVersion, headerElapsedMs, headerUnavailable} {
+	for _, name := range []string{headerVM, headerVersion, headerElapsedMs, headerUnavailable, headerStoppingMs} {
 		header.Del(name)
 	}
 }
@@ -71,7 +72,29 @@
 	// ReasonUnreachable concerns the targets of one request only.
 	ReasonUnreachable        = "targets unreachable"
 	ReasonOlderConfiguration = "older configuration"
+	// ReasonStopping means that the VM ends before it could answer the request.
+	ReasonStopping = "stopping"
 )
 
 // SetUnavailable states that this VM cannot take a request, and why. It has not run it.
 func SetUnavailable(header http.Header, reason string) { header.Set(headerUnavailable, reason) }
+
+// SetStopping states that this VM stops, and how long it still runs at most. Connections to
+// it end, so other VMs must not send more requests meanwhile.
+func SetStopping(header http.Header, left time.Duration) {
+	header.Set(headerStoppingMs, strconv.FormatInt(max(left.Milliseconds(), 0), 10))
+}
+
+// maxStopTime bounds the time for which a VM that stops is avoided.
+const maxStopTime = time.Minute
+
+// takeStopping removes from the header of an answer how long its VM still runs, and returns
+// it, 0 if it doesn't stop.
+func takeStopping(header http.Header) time.Duration {
+	left, err := strconv.ParseInt(header.Get(headerStoppingMs), 10, 64)
+	header.Del(headerStoppingMs)
+	if err != nil || left < 0 {
+		return 0
+	}
+	return min(time.Duration(left)*time.Millisecond, maxStopTime)
+}
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -43,6 +43,8 @@
 	// remote counts the sub-requests to other failure domains.
 	remote     int
 	callerLeft bool
+	// stopped is set if the request ended because the process stops.
+	stopped bool
 	// broken is set once the connection to a target ended before it had run the request to
 	// its end, also after the call.
 	broken atomic.Bool
@@ -140,6 +142,9 @@
 			r.lag.Observe(now.Sub(next))
 			c.send(now, c.query.Wake(now))
 			next = time.Time{}
+		case <-r.unfinished.Done():
+			c.stopped = true
+			return c.query.Finish()
 		case <-ctx.Done():
 			c.callerLeft = true
 			return forwarder.TimedOut
--- a/entry/responder/delegate.go
+++ b/entry/responder/delegate.go
@@ -138,6 +138,8 @@
 func (r *Responder) delegate(w http.ResponseWriter, request *http.Request, c *call, reason string) bool {
 	ctx, span := r.Spans.Start(request.Context(), "delegate", attribute.String("request", c.id))
 	defer span.End()
+	ctx, cancel := r.endedByStop(ctx)
+	defer cancel()
 	c.encode(request)
 	requestLine, common := c.requestLine, c.head
 	outcome := r.Delegator.Delegate(ctx, delegator.Request{
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -36,12 +36,12 @@
 	return zap.String("for-vm", h.VM)
 }
 
-// crashedField is there if a target has crashed under the request.
-func (c *call) crashedField() zap.Field {
-	if !c.crashed {
+// ifSet returns a field that is left out if its value is false.
+func ifSet(name string, value bool) zap.Field {
+	if !value {
 		return zap.Skip()
 	}
-	return zap.Bool("crashed", true)
+	return zap.Bool(name, value)
 }
 
 // nonZero returns a field that is left out if its value is zero.
@@ -55,7 +55,7 @@
 // logEnd writes the log line that summarizes a request.
 func (c *call) logEnd(decision forwarder.Decision, status int, took time.Duration) {
 	c.responder.log.Info("request ended",
-		zap.String("request", c.id), c.fingerprintField(), c.crashedField(), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
+		zap.String("request", c.id), c.fingerprintField(), ifSet("crashed", c.crashed), ifSet("stopped", c.stopped), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
 		zap.Stringer("verdict", decision), zap.Int("status", status), zap.Duration("took", took),
 		zap.Duration("aim", c.route.LatencyObjective), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
 		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote),
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -2,6 +2,7 @@
 package responder
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
@@ -20,6 +21,7 @@
 	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/stopper"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/entry/courier"
@@ -99,7 +101,11 @@
 	metrics   metrics
 	lag       timer.Lag
 	admission *admission
-	stopping  atomic.Bool
+	// stopPlan is set during a planned stop. unfinished ends when every request must be
+	// answered.
+	stopPlan      atomic.Pointer[stopper.Plan]
+	unfinished    context.Context
+	endUnfinished context.CancelFunc
 	// cutBegan wakes Probe.
 	cutBegan    chan struct{}
 	unreachable unreachableRoutes
@@ -112,17 +118,14 @@
 
 // New returns the handler.
 func New(config Config, dependencies Dependencies, scope tally.Scope, log *zap.Logger) *Responder {
+	unfinished, endUnfinished := context.WithCancel(context.Background())
 	return &Responder{
-		Dependencies: dependencies, config: config, log: log, admission: newAdmission(),
+		Dependencies: dependencies, config: config, log: log, admission: newAdmission(), unfinished: unfinished, endUnfinished: endUnfinished,
 		cutBegan: make(chan struct{}, 1), unreachable: unreachableRoutes{until: make(map[string]time.Time)},
 		metrics: metrics{scope: scope, latency: scope.Histogram("request_latency", meter.LatencyBuckets)},
 	}
 }
 
-// Stop makes every further answer close its connection, so that callers reconnect
-// to other entry VMs.
-func (r *Responder) Stop() { r.stopping.Store(true) }
-
 // ServeHTTP answers one request of a caller.
 func (r *Responder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	delegator.RemoveHop(request.Header)
@@ -148,8 +151,11 @@
 }
 
 func (r *Responder) serve(w http.ResponseWriter, request *http.Request, arrived time.Time, h hop) {
-	if r.stopping.Load() {
+	if plan := r.stopPlan.Load(); plan != nil {
 		w.Header().Set("Connection", "close")
+		if h.delegated {
+			delegator.SetStopping(w.Header(), plan.Began.Add(plan.Grace).Sub(r.Timers.Now()))
+		}
 	}
 	table := r.Directory.Table()
 	if r.refuseDelegated(w, request, arrived, table, h) {
@@ -168,12 +174,19 @@
 		r.refuse(w, request, arrived, http.StatusRequestHeaderFieldsTooLarge, "head too large", 0)
 		return
 	}
+	if r.refuseLate(w, request, arrived, route, h) {
+		return
+	}
 	deadline := r.deadline(request, route, arrived.Add(h.Elapsed))
 	body, err := readBody(w, request, table.Limits.MaxBodyBytes, deadline)
 	if err != nil {
 		r.refuseBody(w, request, arrived, err)
 		return
 	}
+	// The body may have taken long.
+	if len(body) > 0 && r.refuseLate(w, request, arrived, route, h) {
+		return
+	}
 	services, ok := r.services(route)
 	if !ok {
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "route without service", noConfigurationRetry)
@@ -222,7 +235,11 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
-	return arrived.Add(timeout)
+	deadline := arrived.Add(timeout)
+	if plan := r.stopPlan.Load(); plan != nil {
+		return plan.Limit(deadline)
+	}
+	return deadline
 }
 
 // refuse answers a request without sending it to a target. details are added to its
--- a/entry/runner/fleet_test.go
+++ b/entry/runner/fleet_test.go
@@ -53,6 +53,8 @@
 	log            string
 	process        *os.Process
 	stop           func()
+	// wait waits for the process to end by itself.
+	wait func() error
 }
 
 // fleets counts the fleets of this process, as each one needs addresses of its own.
@@ -139,10 +141,11 @@
 		t.Fatal(err)
 	}
 	v.process = command.Process
+	v.wait = sync.OnceValue(command.Wait)
 	v.stop = sync.OnceFunc(func() {
 		// The process may have ended already.
 		_ = command.Process.Kill()
-		_ = command.Wait()
+		_ = v.wait()
 		_ = log.Close()
 	})
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
--- a/entry/runner/serve.go
+++ b/entry/runner/serve.go
@@ -11,20 +11,10 @@
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/stopper"
 	"jackdawcart.org/platform/decoder"
 )
 
-// Phases of a graceful shutdown, as shares of the grace period of the platform.
-const (
-	// acceptShare is how long new connections are still accepted, because the load
-	// balancer notices the stop only after two health checks.
-	acceptShare = 0.55
-	// finishShare is when the process stops waiting for running requests. The rest
-	// is for withdrawing its registration and for exiting; in the last sixth no
-	// target works on its requests.
-	finishShare = 0.85
-)
-
 // serveHTTP serves callers, health checks and metrics until the context ends, and
 // then shuts down.
 func (e *entry) serveHTTP(ctx context.Context) error {
@@ -110,10 +100,10 @@
 	began := e.timers.Now()
 	e.log.Info("stopping", zap.Duration("grace", e.platform.ShutdownGrace))
 	e.ready.stop()
-	e.responder.Stop()
-	grace := float64(e.platform.ShutdownGrace)
-	time.Sleep(time.Duration(acceptShare * grace))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*grace)))
+	plan := stopper.Plan{Began: began, Grace: e.platform.ShutdownGrace}
+	e.responder.Stop(plan)
+	time.Sleep(plan.LastAccept().Sub(began))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.Close())
 	defer cancel()
 	// The server drops a request that it reads after the start of Shutdown without an
 	// answer, so the connections that have been accepted are served first.
--- a/entry/runner/stop_test.go
+++ b/entry/runner/stop_test.go
@@ -97,7 +97,12 @@
 
 // exchange sends a request and reads its answer.
 func exchange(conn net.Conn, r *bufio.Reader, id string) (closes bool, err error) {
-	head := "GET /all/q HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 1500\r\nRequest-Id: " + id + "\r\n\r\n"
+	return exchangeOn(conn, r, "GET /all/q", id)
+}
+
+// exchangeOn sends a request with a method and a path and reads its answer.
+func exchangeOn(conn net.Conn, r *bufio.Reader, methodAndPath, id string) (closes bool, err error) {
+	head := methodAndPath + " HTTP/1.1\r\nHost: x.example\r\nDeadline-Ms: 1500\r\nRequest-Id: " + id + "\r\n\r\n"
 	if _, err := io.WriteString(conn, head); err != nil {
 		return true, errNotSent
 	}
@@ -109,3 +114,60 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.Close, err
 }
+
+// Requests that came late in a planned stop on kept connections were taken, run, and cut at
+// the end of the grace period, also ones that must not run twice. Each must be answered, or
+// not run at all.
+func TestLateRequestsOfPlannedStopAreAnswered(t *testing.T) {
+	const (
+		grace = time.Second
+		run   = grace * 35 / 100
+	)
+	fleet := newFleet(t, 1)
+	for _, target := range fleet.running() {
+		target.Set(0, run)
+	}
+	endpoints := []string{"GET /all/q", "POST /once/q", "GET /often/q"}
+	type kept struct {
+		conn net.Conn
+		r    *bufio.Reader
+	}
+	conns := make([]kept, 30)
+	var opening sync.WaitGroup
+	for i := range conns {
+		opening.Go(func() {
+			conn, err := net.Dial("tcp", fleet.vms[0].callers)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			conns[i] = kept{conn, bufio.NewReader(conn)}
+			if _, err := exchangeOn(conn, conns[i].r, endpoints[i%3], fmt.Sprint("before-", i)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	opening.Wait()
+	if t.Failed() {
+		return
+	}
+	stopped := time.Now()
+	_ = fleet.vms[0].process.Signal(syscall.SIGTERM)
+	time.AfterFunc(grace/10, func() { _ = fleet.vms[0].process.Signal(syscall.SIGTERM) })
+	var callers sync.WaitGroup
+	for i, k := range conns {
+		callers.Go(func() {
+			defer k.conn.Close()
+			share := 0.2 + 0.65*float64(i)/float64(len(conns))
+			time.Sleep(time.Until(stopped.Add(time.Duration(share * float64(grace)))))
+			id := fmt.Sprint("late-", i)
+			if _, err := exchangeOn(k.conn, k.r, endpoints[i%3], id); err != nil && fleet.ran(id) {
+				t.Errorf("%s, sent %.2f of the grace period after the stop, has run and got no answer: %v", endpoints[i%3], share, err)
+			}
+		})
+	}
+	callers.Wait()
+	if err := fleet.vms[0].wait(); err != nil || time.Since(stopped) > grace {
+		t.Errorf("the process ended %v after the signal: %v", time.Since(stopped), err)
+	}
+}
