--- a/entry/runner/sound_test.go
+++ b/entry/runner/sound_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"jackdawcart.org/platform/soak"
 	"jackdawcart.org/platform/standin"
 )
 
@@ -144,3 +145,27 @@
 	}
 	return of
 }
+
+// A VM that has lost its links to live targets, which then refuse it, must not take sound
+// requests for the cause.
+func TestSoundRequestsSurviveLostLinks(t *testing.T) {
+	const length = 6 * time.Second
+	fleet, l := newFleetWithLinks(t)
+	for _, target := range fleet.running() {
+		target.Set(standin.Healthy, 30*time.Millisecond)
+	}
+	cuts := time.AfterFunc(length/8, func() {
+		for range 3 {
+			l.set(soak.Impairment{Refuse: true}, true)
+			time.Sleep(length / 8)
+			l.set(soak.Impairment{}, true)
+			time.Sleep(length / 8)
+		}
+	})
+	defer cuts.Stop()
+	counts := sendSound(t, fleet, length)
+	t.Logf("%d sent, %d refused, %d of them in quarantine", counts.sent, counts.refused, counts.quarantined)
+	if counts.quarantined > 0 {
+		t.Errorf("%d of %d sound requests were refused in quarantine", counts.quarantined, counts.sent)
+	}
+}
