Test how knowledge of requests that crash targets travels

With real processes: while the store is away, for the VM that saw it and the VMs of its domain; after the store was restored from a copy older than the losses, also for a VM that restarts then; and for a request that was passed on by a VM cut off from its targets.

--- a/entry/runner/poison_test.go
+++ b/entry/runner/poison_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"jackdawcart.org/platform/soak"
 	"jackdawcart.org/platform/standin"
 )
 
@@ -129,3 +130,60 @@
 		})
 	}
 }
+
+// What one VM learns of a request that crashes targets must reach the others while the store
+// is away, after it was restored from an older copy, and when the request was passed on.
+func TestKnowledgeOfPoisonTravels(t *testing.T) {
+	const path = "/all/poison"
+	cases := []struct {
+		name string
+		// poison makes targets crash under the request, and returns the VMs that must know.
+		poison func(t *testing.T, fx *fleet, l *links) []int
+	}{
+		{"store away", func(t *testing.T, fx *fleet, _ *links) []int {
+			fx.store.Refuse(http.StatusServiceUnavailable)
+			fx.do(t, 1, http.MethodGet, path, "first")
+			return []int{1}
+		}},
+		{"store away, VMs of one domain", func(t *testing.T, fx *fleet, _ *links) []int {
+			fx.store.Refuse(http.StatusServiceUnavailable)
+			fx.do(t, 2, http.MethodGet, path, "first")
+			return []int{0, 2}
+		}},
+		{"store restored, VM restarted", func(t *testing.T, fx *fleet, _ *links) []int {
+			backup := fx.store.Copy()
+			fx.do(t, 1, http.MethodGet, path, "first")
+			time.Sleep(2 * time.Second)
+			fx.store.Restore(backup)
+			fx.store.WriteAgain()
+			time.Sleep(stabilityWindow)
+			fx.restart(t, 2)
+			return []int{0, 1, 2}
+		}},
+		{"request passed on", func(t *testing.T, fx *fleet, l *links) []int {
+			l.set(soak.Impairment{Refuse: true}, true)
+			for end := time.Now().Add(stabilityWindow); time.Now().Before(end); {
+				fx.do(t, 0, http.MethodGet, "/all/q", fmt.Sprint("sound-", time.Now().UnixNano()))
+			}
+			fx.do(t, 0, http.MethodGet, path, "first")
+			return []int{0, 1, 2}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fleet, l := newFleetWithLinks(t)
+			fleet.crashOn(standin.Poison{Path: path})
+			informed := c.poison(t, fleet, l)
+			if !fleet.ran("first") {
+				t.Fatal("the first copy has not run")
+			}
+			time.Sleep(stabilityWindow)
+			for _, vm := range informed {
+				id := fmt.Sprint("late-", vm)
+				if status := fleet.do(t, vm, http.MethodGet, path, id); status != http.StatusServiceUnavailable || fleet.ran(id) {
+					t.Errorf("VM %d answered with %d, ran: %t", vm, status, fleet.ran(id))
+				}
+			}
+		})
+	}
+}
