Suspect requests given up at relays too

Jobs that ended at their deadline, were cancelled or went silent now count for 5 s if their target is lost, until the request is answered at the same shard. A silent target is not lost, and a relay that stops reports none.

--- a/relay/inspector/inspector.go
+++ b/relay/inspector/inspector.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -52,6 +54,7 @@
 	mu         sync.Mutex
 	state      *quarantiner.Quarantiner
 	broken     quarantiner.BrokenRequests
+	abandoned  quarantiner.AbandonedRuns
 	lossNumber uint64
 }
 
@@ -108,8 +111,9 @@
 // JobStarted does nothing; only the results of jobs matter.
 func (i *Inspector) JobStarted(string, *dispatcher.Job) {}
 
-// JobEnded records completions, which clear a request of suspicion, and broken
-// connections, which make a request suspect if its target is lost.
+// JobEnded records completions, which clear a request of suspicion, broken connections,
+// which make a request suspect if its target is lost, and requests that are no longer waited
+// for while their target may still run them.
 func (i *Inspector) JobEnded(target string, job *dispatcher.Job, result dispatcher.Result) {
 	if job.Fingerprint == 0 {
 		return
@@ -120,6 +124,15 @@
 	switch {
 	case result.Outcome == peerpb.Outcome_OUTCOME_RAN:
 		i.state.Completed(now, run)
+		i.abandoned.Completed(run)
+	case result.Outcome == peerpb.Outcome_OUTCOME_NOT_RUN:
+		if result.Failure == peerpb.FailureKind_FAILURE_UNREACHABLE && i.abandoned.Has(target) {
+			// Beyond the limit, the target is probed when the next request fails.
+			i.losses.Put(target)
+		}
+	case result.Failure == peerpb.FailureKind_FAILURE_DEADLINE, result.Failure == peerpb.FailureKind_FAILURE_CANCELLED,
+		result.Failure == peerpb.FailureKind_FAILURE_SILENT:
+		i.abandoned.Add(now, target, run)
 	case result.Failure == peerpb.FailureKind_FAILURE_LOST:
 		if i.broken.Add(now, target, run) && !i.losses.Put(target) {
 			i.broken.Take(now, target)
@@ -133,25 +146,21 @@
 	return quarantiner.Run{Fingerprint: job.Fingerprint, Part: job.Service + "/" + job.Shard}
 }
 
-// confirmLoss probes a target whose connections broke. If the probe fails, it
-// reports the requests that were in flight there.
+// confirmLoss probes a target whose connections broke. If it refuses the probe, it
+// reports the requests that were in flight there, and those that had been given up.
 func (i *Inspector) confirmLoss(ctx context.Context, target string) {
-	wait := i.timers.After(quarantiner.ProbeDelay)
-	defer wait.Stop()
-	<-wait.C
+	if !i.timers.Sleep(ctx, quarantiner.ProbeDelay) {
+		return
+	}
 	i.mu.Lock()
-	runs := i.broken.Take(i.timers.Now(), target)
+	runs, abandoned := i.broken.Take(i.timers.Now(), target), i.abandoned.Has(target)
 	i.mu.Unlock()
 	addr, err := netip.ParseAddrPort(target)
-	if err != nil || len(runs) == 0 {
-		return
-	}
-	probe, cancel := context.WithTimeout(ctx, quarantiner.ProbeTimeout)
-	defer cancel()
-	if i.prober.Probe(probe, addr) == nil {
+	if err != nil || len(runs) == 0 && !abandoned || !i.refuses(ctx, addr) {
 		return
 	}
 	i.mu.Lock()
+	runs = append(runs, i.abandoned.Take(i.timers.Now(), target)...)
 	i.lossNumber++
 	lost := &peerpb.LostTarget{Target: target, Loss: i.lossNumber}
 	for _, run := range runs {
@@ -163,6 +172,17 @@
 	i.network.Broadcast(&peerpb.Frame{Kind: &peerpb.Frame_LostTarget{LostTarget: lost}})
 }
 
+// refuses reports whether a target refuses connections. A silent one, or a probe that ended
+// because the relay stops, says nothing.
+func (i *Inspector) refuses(ctx context.Context, target netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, quarantiner.ProbeTimeout)
+	defer cancel()
+	err := i.prober.Probe(ctx, target)
+	var network net.Error
+	silent := errors.As(err, &network) && network.Timeout()
+	return err != nil && !silent && !errors.Is(context.Cause(ctx), context.Canceled)
+}
+
 // HandleLost applies another relay's report of a lost target.
 func (i *Inspector) HandleLost(lost *peerpb.LostTarget) {
 	i.mu.Lock()
--- a/relay/inspector/inspector_test.go
+++ b/relay/inspector/inspector_test.go
@@ -89,6 +89,13 @@
 	time.Sleep(100 * time.Millisecond)
 }
 
+// refuse reports a request that found no connection, and waits until the target is probed.
+func (n *node) refuse(target string) {
+	result := dispatcher.Result{Outcome: peerpb.Outcome_OUTCOME_NOT_RUN, Failure: peerpb.FailureKind_FAILURE_UNREACHABLE}
+	n.JobEnded(target, &dispatcher.Job{Fingerprint: bystander + 2}, result)
+	time.Sleep(100 * time.Millisecond)
+}
+
 // A request that crashes several targets must be refused by all relays and
 // gateways of the failure domain, and no other request may be refused.
 func TestQuarantine(t *testing.T) {
@@ -127,6 +134,28 @@
 				b.endShardJob("10.0.0.3:80", "other", poison, completed)
 			}
 		}, map[uint64]bool{poison: true}},
+		{"targets lost after the deadline", nil, func(a, _ *node) {
+			for _, target := range []string{t1, t2} {
+				a.endJob(target, poison, peerpb.FailureKind_FAILURE_DEADLINE)
+				time.Sleep(time.Second)
+				a.loseTarget(target, bystander+1)
+			}
+			a.endJob("10.0.0.3:80", bystander+1, completed)
+		}, map[uint64]bool{poison: true}},
+		{"target refuses connections after a request was cancelled", nil, func(a, _ *node) {
+			for _, target := range []string{t1, t2} {
+				a.endJob(target, poison, peerpb.FailureKind_FAILURE_CANCELLED)
+				a.refuse(target)
+			}
+		}, map[uint64]bool{poison: true}},
+		{"answered elsewhere after the deadline", nil, func(a, _ *node) {
+			for _, target := range []string{t1, t2} {
+				a.endJob(target, bystander, peerpb.FailureKind_FAILURE_DEADLINE)
+			}
+			a.endJob("10.0.0.3:80", bystander, completed)
+			a.refuse(t1)
+			a.refuse(t2)
+		}, map[uint64]bool{}},
 		{"completed after the quarantine", nil, func(a, b *node) {
 			a.loseTarget(t1, poison)
 			a.loseTarget(t2, poison)
