Don't suspect requests given up at targets that had gone silent

A target that is replaced, or restarted, counts as lost under requests that were given up only if it has answered another request since. One that ends connections or refuses new ones counts as before.

--- a/entry/inspector/abandoned.go
+++ b/entry/inspector/abandoned.go
@@ -6,6 +6,14 @@
 	"jackdawcart.org/core/registrar"
 )
 
+// abandonedTarget is a target at which requests were given up.
+type abandonedTarget struct {
+	registrar.Record
+	// heard is set once it has answered another request since the first one was given up: it
+	// was not silent.
+	heard bool
+}
+
 // GaveUp records that a request at a target is no longer waited for, while the target may
 // still run it. If the target is lost soon after, the loss counts against the request.
 func (i *Inspector) GaveUp(target registrar.Record, fingerprint uint64) {
@@ -13,8 +21,8 @@
 	defer i.mu.Unlock()
 	key := incarnation(target)
 	i.abandoned.Add(i.timers.Now(), key, runOf(target, fingerprint))
-	if i.abandoned.Has(key) {
-		i.abandonedAt[target.ID] = target
+	if known, ok := i.abandonedAt[target.ID]; i.abandoned.Has(key) && (!ok || incarnation(known.Record) != key) {
+		i.abandonedAt[target.ID] = abandonedTarget{Record: target}
 	}
 }
 
@@ -26,12 +34,13 @@
 	i.mu.Unlock()
 	if ok {
 		// Beyond the limit of probes, the target is probed when the next connection ends.
-		i.startProbe(target)
+		i.startProbe(target.Record)
 	}
 }
 
 // TargetChanged records a change of a target's registration. Without notice, a target that
-// is gone may have crashed under a request that was given up.
+// is gone may have crashed under a request that was given up. One that had been silent before
+// it was replaced has not: its host was gone, and the requests were given up for that.
 func (i *Inspector) TargetChanged(event registrar.Event) {
 	switch event.Change {
 	case registrar.Drained:
@@ -53,11 +62,14 @@
 	defer i.mu.Unlock()
 	var gone []registrar.Record
 	for id, target := range i.abandonedAt {
+		if !target.heard {
+			continue
+		}
 		vacated := event.Change == registrar.Vacated && id == event.Record.ID
-		sameAddress := target.Address == event.Record.Address && incarnation(target) != incarnation(event.Record)
-		restarted := id == event.Record.ID && incarnation(target) != incarnation(event.Record)
+		sameAddress := target.Address == event.Record.Address && incarnation(target.Record) != incarnation(event.Record)
+		restarted := id == event.Record.ID && incarnation(target.Record) != incarnation(event.Record)
 		if vacated || sameAddress || restarted {
-			gone = append(gone, target)
+			gone = append(gone, target.Record)
 		}
 	}
 	return gone
@@ -78,7 +90,7 @@
 	}
 	i.abandoned.Expire(now)
 	for id, target := range i.abandonedAt {
-		if !i.abandoned.Has(incarnation(target)) {
+		if !i.abandoned.Has(incarnation(target.Record)) {
 			delete(i.abandonedAt, id)
 		}
 	}
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -70,7 +70,7 @@
 	reports *quarantiner.Reports
 	// abandoned holds the runs that were given up, and abandonedAt their targets by ID.
 	abandoned   quarantiner.AbandonedRuns
-	abandonedAt map[string]registrar.Record
+	abandonedAt map[string]abandonedTarget
 	// waiting holds the callbacks of the requests that broke, by the incarnation of their
 	// target.
 	waiting map[string][]func(crashed bool)
@@ -88,7 +88,7 @@
 		active:  make(chan struct{}, 1),
 		due:     make(chan struct{}, 1),
 		state:   quarantiner.New(quarantiner.DefaultConfig()),
-		reports: quarantiner.NewReports(), abandonedAt: make(map[string]registrar.Record),
+		reports: quarantiner.NewReports(), abandonedAt: make(map[string]abandonedTarget),
 		waiting: make(map[string][]func(bool)), lostAt: make(map[string]time.Time),
 	}
 }
@@ -121,6 +121,10 @@
 	}
 	i.state.Completed(now, run)
 	i.abandoned.Completed(run)
+	if at, ok := i.abandonedAt[target.ID]; ok && !at.heard {
+		at.heard = true
+		i.abandonedAt[target.ID] = at
+	}
 }
 
 // runOf returns the run of a request at a target. A target of one service may run a request
@@ -249,7 +253,7 @@
 	now, key := i.timers.Now(), incarnation(target)
 	i.lostAt[key] = now
 	abandoned := i.abandoned.Take(now, key)
-	if incarnation(i.abandonedAt[target.ID]) == key {
+	if incarnation(i.abandonedAt[target.ID].Record) == key {
 		delete(i.abandonedAt, target.ID)
 	}
 	i.scope.Counter("targets_lost").Inc(1)
