--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -54,8 +54,9 @@
 	}
 }
 
-// withoutRoom reports whether the limit of a target, or the pause that it wants, leaves no room for a request now. Hedges
-// leave what little room there is to requests that have no other target.
+// withoutRoom reports whether the limit of a target, or the pause that it wants, leaves no
+// room for a request now. Hedges leave what little room there is to requests that have no
+// other target.
 func (p *Placer) withoutRoom(now time.Time, t *target, r Request) bool {
 	if t.pause.forbids(now) {
 		return true
--- a/core/placer/word.go
+++ b/core/placer/word.go
@@ -47,15 +47,18 @@
 }
 
 // ObserveLeaving records that a target has said that it leaves, and reports whether that is
-// new. Its neighbours learn of it with the evidence.
+// new. The neighbours of this VM learn of it with the evidence.
 func (p *Placer) ObserveLeaving(record registrar.Record) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.leaving.add(record.ID, record.Born) {
 		return false
 	}
-	e := p.pendingEvidence(p.target(record.ID), record)
-	e.Leaving, e.Born = true, record.Born
+	// The neighbours know already that a target without state has gone.
+	if t, ok := p.targets[record.ID]; ok {
+		e := p.pendingEvidence(t, record)
+		e.Leaving, e.Born = true, record.Born
+	}
 	return true
 }
 
--- a/core/placer/word_test.go
+++ b/core/placer/word_test.go
@@ -35,6 +35,7 @@
 func TestLeavingTargetIsNotUsed(t *testing.T) {
 	f, neighbour := newWordFixture(), newWordFixture()
 	now := time.Unix(100, 0)
+	f.place(now)
 	if !f.ObserveLeaving(f.targets[0]) || f.ObserveLeaving(f.targets[0]) {
 		t.Error("the target must be new as a leaving one once")
 	}
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -66,35 +66,6 @@
 	detail string
 }
 
-type reply struct {
-	shard, attempt int
-	target         string
-	reply          courier.Reply
-	fate           fate
-}
-
-// fate is what is known of a target that ended the connection before its answer.
-type fate int
-
-const (
-	// answered targets have not ended the connection, or it doesn't matter why.
-	answered fate = iota
-	// unexplained targets are being probed. Another reply follows.
-	unexplained
-	alive
-	crashed
-)
-
-func fateOf(hasCrashed bool) fate {
-	if hasCrashed {
-		return crashed
-	}
-	return alive
-}
-
-// repliesPerAttempt is the largest number of replies to one sub-request.
-const repliesPerAttempt = 2
-
 // lagsPerAnswer is how often the scheduling lag of the process delays a request
 // outside of run: when it is read and when its answer is written.
 const lagsPerAnswer = 2
@@ -142,7 +113,7 @@
 			r.lag.Observe(now.Sub(next))
 			c.send(now, c.query.Wake(now))
 			next = time.Time{}
-		case <-r.unfinished.Done():
+		case <-r.answersDue.Done():
 			c.stopped = true
 			return c.query.Finish()
 		case <-ctx.Done():
@@ -234,7 +205,7 @@
 		c.crashed = c.crashed || got.fate == crashed
 		c.send(now, c.query.Explained(now, got.shard, got.attempt, got.fate == crashed))
 		return
-	case answered:
+	case notBroken:
 	}
 	result := got.reply.Result
 	if result == placer.Answered && c.route.Gathers() && !isPart(got.reply) {
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -55,7 +55,8 @@
 // logEnd writes the log line that summarizes a request.
 func (c *call) logEnd(decision forwarder.Decision, status int, took time.Duration) {
 	c.responder.log.Info("request ended",
-		zap.String("request", c.id), c.fingerprintField(), ifSet("crashed", c.crashed), ifSet("stopped", c.stopped), zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
+		zap.String("request", c.id), c.fingerprintField(), ifSet("crashed", c.crashed), ifSet("stopped", c.stopped),
+		zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
 		zap.Stringer("verdict", decision), zap.Int("status", status), zap.Duration("took", took),
 		zap.Duration("aim", c.route.LatencyObjective), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
 		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote),
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -101,11 +101,11 @@
 	metrics   metrics
 	lag       timer.Lag
 	admission *admission
-	// stopPlan is set during a planned stop. unfinished ends when every request must be
-	// answered.
-	stopPlan      atomic.Pointer[stopper.Plan]
-	unfinished    context.Context
-	endUnfinished context.CancelFunc
+	// stopPlan is set during a planned stop. answersDue ends when every request must be
+	// answered in it.
+	stopPlan   atomic.Pointer[stopper.Plan]
+	answersDue context.Context
+	endCalls   context.CancelFunc
 	// cutBegan wakes Probe.
 	cutBegan    chan struct{}
 	unreachable unreachableRoutes
@@ -118,9 +118,9 @@
 
 // New returns the handler.
 func New(config Config, dependencies Dependencies, scope tally.Scope, log *zap.Logger) *Responder {
-	unfinished, endUnfinished := context.WithCancel(context.Background())
+	answersDue, endCalls := context.WithCancel(context.Background())
 	return &Responder{
-		Dependencies: dependencies, config: config, log: log, admission: newAdmission(), unfinished: unfinished, endUnfinished: endUnfinished,
+		Dependencies: dependencies, config: config, log: log, admission: newAdmission(), answersDue: answersDue, endCalls: endCalls,
 		cutBegan: make(chan struct{}, 1), unreachable: unreachableRoutes{until: make(map[string]time.Time)},
 		metrics: metrics{scope: scope, latency: scope.Histogram("request_latency", meter.LatencyBuckets)},
 	}
--- a/entry/responder/stop.go
+++ b/entry/responder/stop.go
@@ -20,7 +20,7 @@
 	r.stopPlan.Store(&plan)
 	go func() {
 		r.Timers.Sleep(context.Background(), plan.LastAnswer().Sub(r.Timers.Now()))
-		r.endUnfinished()
+		r.endCalls()
 	}()
 }
 
@@ -48,7 +48,7 @@
 // answered because the process stops.
 func (r *Responder) endedByStop(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(r.unfinished, cancel)
+	stop := context.AfterFunc(r.answersDue, cancel)
 	return ctx, func() {
 		stop()
 		cancel()
