Probe targets at which a request was given up

Cause, by its log: the VM that had given the request up had no connection to the target left, and nothing else was sent there.

A target at which a request is given up is probed once: if it accepts, it was at work, and its replacement counts; if it refuses, it is lost; if it is silent, nothing counts, as before.

--- a/entry/inspector/abandoned.go
+++ b/entry/inspector/abandoned.go
@@ -9,11 +9,26 @@
 // abandonedTarget is a target at which requests were given up.
 type abandonedTarget struct {
 	registrar.Record
-	// heard is set once it has answered another request since the first one was given up: it
-	// was not silent.
+	// heard is set once it has answered another request, or accepted a connection, since the
+	// first one was given up: it was not silent.
 	heard bool
 }
 
+// heard records that a target accepts connections.
+func (i *Inspector) heard(target registrar.Record) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.recordHeard(target)
+}
+
+// recordHeard records that a target is not silent. The caller holds mu.
+func (i *Inspector) recordHeard(target registrar.Record) {
+	if at, ok := i.abandonedAt[target.ID]; ok && !at.heard && incarnation(at.Record) == incarnation(target) {
+		at.heard = true
+		i.abandonedAt[target.ID] = at
+	}
+}
+
 // GaveUp records that a request at a target is no longer waited for, while the target may
 // still run it. If the target is lost soon after, the loss counts against the request.
 func (i *Inspector) GaveUp(target registrar.Record, fingerprint uint64) {
@@ -23,6 +38,8 @@
 	i.abandoned.Add(i.timers.Now(), key, runOf(target, fingerprint))
 	if known, ok := i.abandonedAt[target.ID]; i.abandoned.Has(key) && (!ok || incarnation(known.Record) != key) {
 		i.abandonedAt[target.ID] = abandonedTarget{Record: target}
+		// Tells a target that is at work from one that is silent or gone already.
+		i.startProbe(target)
 	}
 }
 
--- a/entry/inspector/abandoned_test.go
+++ b/entry/inspector/abandoned_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +20,18 @@
 	}}
 }
 
+// acceptOnce returns a dialer to targets that accept the probe of a request that is given up,
+// and refuse all later ones.
+func acceptOnce() inspector.Dialer {
+	var accepted sync.Map
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		if _, known := accepted.LoadOrStore(address, true); known {
+			return refuse(ctx, address)
+		}
+		return accept(ctx, address)
+	}
+}
+
 func dontAnswer(context.Context, netip.AddrPort) (net.Conn, error) {
 	return nil, os.ErrDeadlineExceeded
 }
@@ -33,22 +46,25 @@
 	cases := []struct {
 		name string
 		dial inspector.Dialer
-		// silent targets answer no other request after the one that is given up.
-		silent bool
+		// idle targets answer no other request after the one that is given up.
+		idle bool
 		// gone tells the inspector what became of the target with an ID and a port.
 		gone func(id string, port uint16) func(*inspector.Inspector)
 		want bool
 	}{
-		{"idle connection ends", refuse, true, func(id string, _ uint16) func(*inspector.Inspector) {
+		{"idle connection ends", acceptOnce(), true, func(id string, _ uint16) func(*inspector.Inspector) {
 			return func(i *inspector.Inspector) { i.ConnectionEnded(id) }
 		}, true},
 		{"idle connection of a live target ends", accept, true, func(id string, _ uint16) func(*inspector.Inspector) {
 			return func(i *inspector.Inspector) { i.ConnectionEnded(id) }
 		}, false},
+		{"refuses connections at once", refuse, true, func(string, uint16) func(*inspector.Inspector) {
+			return func(*inspector.Inspector) {}
+		}, true},
 		{"silent", dontAnswer, true, func(id string, _ uint16) func(*inspector.Inspector) {
 			return func(i *inspector.Inspector) { i.ConnectionEnded(id) }
 		}, false},
-		{"registration ends", refuse, true, func(id string, port uint16) func(*inspector.Inspector) {
+		{"registration ends", acceptOnce(), true, func(id string, port uint16) func(*inspector.Inspector) {
 			return event(registrar.Removed, targetAt(id, port, born))
 		}, true},
 		{"another target has the address", accept, false, func(_ string, port uint16) func(*inspector.Inspector) {
@@ -57,10 +73,13 @@
 		{"restarted", accept, false, func(id string, port uint16) func(*inspector.Inspector) {
 			return event(registrar.Restarted, targetAt(id, port, born.Add(time.Second)))
 		}, true},
-		{"silent, then another target has the address", accept, true, func(_ string, port uint16) func(*inspector.Inspector) {
+		{"idle, then another target has the address", accept, true, func(_ string, port uint16) func(*inspector.Inspector) {
+			return event(registrar.Added, targetAt("new", port, born))
+		}, true},
+		{"silent, then another target has the address", dontAnswer, true, func(_ string, port uint16) func(*inspector.Inspector) {
 			return event(registrar.Added, targetAt("new", port, born))
 		}, false},
-		{"leaves as planned", refuse, true, func(id string, port uint16) func(*inspector.Inspector) {
+		{"leaves as planned", acceptOnce(), true, func(id string, port uint16) func(*inspector.Inspector) {
 			return func(i *inspector.Inspector) {
 				i.TargetChanged(registrar.Event{Change: registrar.Drained, Record: targetAt(id, port, born)})
 				i.ConnectionEnded(id)
@@ -73,7 +92,7 @@
 				for k, id := range []string{"t1", "t2"} {
 					port := uint16(k + 1)
 					vms[0].GaveUp(targetAt(id, port, born), poison)
-					if !c.silent {
+					if !c.idle {
 						vms[0].Completed(targetAt(id, port, born), other)
 					}
 					time.Sleep(500 * time.Millisecond)
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -121,10 +121,7 @@
 	}
 	i.state.Completed(now, run)
 	i.abandoned.Completed(run)
-	if at, ok := i.abandonedAt[target.ID]; ok && !at.heard {
-		at.heard = true
-		i.abandonedAt[target.ID] = at
-	}
+	i.recordHeard(target)
 }
 
 // runOf returns the run of a request at a target. A target of one service may run a request
@@ -225,16 +222,20 @@
 // an answer.
 func (i *Inspector) confirmLoss(ctx context.Context, target registrar.Record) {
 	key := incarnation(target)
-	refused := make(chan bool, 1)
-	go func() { refused <- i.refuses(ctx, target.Address) }()
+	outcomes := make(chan probeOutcome, 1)
+	go func() { outcomes <- i.probe(ctx, target.Address) }()
 	wait := i.timers.After(maxExplainTime)
 	defer wait.Stop()
-	crashed := false
+	var outcome probeOutcome
 	select {
-	case crashed = <-refused:
+	case outcome = <-outcomes:
 	case <-wait.C:
 		i.explain(key, false)
-		crashed = <-refused
+		outcome = <-outcomes
+	}
+	crashed := outcome == refuses
+	if outcome == accepts {
+		i.heard(target)
 	}
 	i.mu.Lock()
 	runs, abandoned := i.broken.Take(i.timers.Now(), key), i.abandoned.Has(key)
@@ -269,19 +270,30 @@
 	}
 }
 
-// refuses reports whether a target refuses connections. A probe without an answer says
-// nothing: a host without power, or behind a partition, is silent, and a crashed process
-// leaves a host that refuses.
-func (i *Inspector) refuses(ctx context.Context, address netip.AddrPort) bool {
+// probeOutcome is how a target reacts to a new connection.
+type probeOutcome int
+
+const (
+	// silent targets say nothing: a host without power, or behind a partition, is silent, and
+	// a crashed process leaves a host that refuses.
+	silent probeOutcome = iota
+	refuses
+	accepts
+)
+
+func (i *Inspector) probe(ctx context.Context, address netip.AddrPort) probeOutcome {
 	ctx, cancel := context.WithTimeout(ctx, quarantiner.ProbeTimeout)
 	defer cancel()
 	conn, err := i.dial(ctx, address)
-	if err != nil {
-		var network net.Error
-		return !errors.As(err, &network) || !network.Timeout()
+	if err == nil {
+		conn.Close()
+		return accepts
+	}
+	var network net.Error
+	if errors.As(err, &network) && network.Timeout() {
+		return silent
 	}
-	conn.Close()
-	return false
+	return refuses
 }
 
 // onlyLossID is the report ID of every loss: a target's incarnation is lost only once.
