Judge a probe's error in one place, and leave out needless copies

Read-through, behaviour unchanged. Both inspectors told a refusing from a silent target by the same lines; quarantiner.Refuses serves both. The delay before a relay's probe moves to the relay, its only user. Placing a sub-request allocated a map also without targets that leave; abandoned runs were cloned before each walk over them.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -209,14 +209,9 @@
 	for i, record := range r.Targets {
 		candidates[i] = p.candidate(record, kept, i)
 	}
-	leaves := make(map[string]bool)
-	for _, record := range r.Targets {
-		if p.leaving.has(record.ID, record.Born) {
-			leaves[record.ID] = true
-		}
-	}
+	leaves := p.leaving.among(r.Targets)
 	excluded := func(id string) bool {
-		return leaves[id] || p.unavailable(id, r) || p.withoutRoom(now, p.target(id), r)
+		return leaves.Has(id) || p.unavailable(id, r) || p.withoutRoom(now, p.target(id), r)
 	}
 	failureRateLimit := p.maxFailureRate(now, r.Targets, excluded)
 	unfit := func(id string) bool {
--- a/core/placer/word.go
+++ b/core/placer/word.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/registrar"
 )
 
@@ -46,6 +47,21 @@
 	return ok && !born.After(since)
 }
 
+// among returns the IDs of the targets that leave, nil if none does.
+func (l leaving) among(targets []registrar.Record) container.Set[string] {
+	var ids container.Set[string]
+	for _, record := range targets {
+		if !l.has(record.ID, record.Born) {
+			continue
+		}
+		if ids == nil {
+			ids = container.NewSet[string]()
+		}
+		ids.Add(record.ID)
+	}
+	return ids
+}
+
 // ObserveLeaving records that a target has said that it leaves, and reports whether that is
 // new. The neighbours of this VM learn of it with the evidence.
 func (p *Placer) ObserveLeaving(record registrar.Record) bool {
--- a/core/quarantiner/abandoned.go
+++ b/core/quarantiner/abandoned.go
@@ -1,9 +1,6 @@
 package quarantiner
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 const (
 	// maxRunTime is the time after which a run that was given up no longer counts against
@@ -63,7 +60,7 @@
 // Take removes the runs at a target and returns the recent ones.
 func (a *AbandonedRuns) Take(now time.Time, target string) []Run {
 	var runs []Run
-	for run, at := range maps.Clone(a.byTarget[target]) {
+	for run, at := range a.byTarget[target] {
 		if now.Sub(at) <= maxRunTime {
 			runs = append(runs, run)
 		}
@@ -75,7 +72,7 @@
 // Expire drops the runs that no longer count.
 func (a *AbandonedRuns) Expire(now time.Time) {
 	for target, runs := range a.byTarget {
-		for run, at := range maps.Clone(runs) {
+		for run, at := range runs {
 			if now.Sub(at) > maxRunTime {
 				a.remove(target, run)
 			}
--- a/core/quarantiner/broken.go
+++ b/core/quarantiner/broken.go
@@ -1,18 +1,27 @@
 package quarantiner
 
-import "time"
+import (
+	"errors"
+	"net"
+	"time"
+)
 
 // Times for confirming the loss of a target whose connections broke.
 const (
-	// ProbeDelay lets all requests in flight at a lost target fail before it is probed, if
-	// none of them waits for the probe.
-	ProbeDelay = 20 * time.Millisecond
 	// ProbeTimeout limits the probe of a target.
 	ProbeTimeout = 250 * time.Millisecond
 	// lossWindow is the time within which broken requests are attributed to one loss.
 	lossWindow = 100 * time.Millisecond
 )
 
+// Refuses reports whether the error of a probe shows that the target refuses connections, as
+// after a crash. A probe without an answer says nothing: a host without power, or behind a
+// partition, is silent, and a crashed process leaves a host that refuses.
+func Refuses(err error) bool {
+	var network net.Error
+	return err != nil && (!errors.As(err, &network) || !network.Timeout())
+}
+
 // BrokenRequests holds the requests whose connection to a target
 // broke, until the target has been probed. It is not safe for concurrent use.
 type BrokenRequests struct {
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"net"
 	"net/netip"
@@ -274,8 +273,6 @@
 type probeOutcome int
 
 const (
-	// silent targets say nothing: a host without power, or behind a partition, is silent, and
-	// a crashed process leaves a host that refuses.
 	silent probeOutcome = iota
 	refuses
 	accepts
@@ -289,11 +286,10 @@
 		conn.Close()
 		return accepts
 	}
-	var network net.Error
-	if errors.As(err, &network) && network.Timeout() {
-		return silent
+	if quarantiner.Refuses(err) {
+		return refuses
 	}
-	return refuses
+	return silent
 }
 
 // onlyLossID is the report ID of every loss: a target's incarnation is lost only once.
--- a/relay/inspector/inspector.go
+++ b/relay/inspector/inspector.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -23,6 +22,8 @@
 
 const (
 	advancePeriod = 100 * time.Millisecond
+	// probeDelay lets all requests in flight at a lost target fail before it is probed.
+	probeDelay = 20 * time.Millisecond
 	// lossQueueSize limits the number of suspected losses waiting for a probe.
 	lossQueueSize = 256
 )
@@ -149,7 +150,7 @@
 // confirmLoss probes a target whose connections broke. If it refuses the probe, it
 // reports the requests that were in flight there, and those that had been given up.
 func (i *Inspector) confirmLoss(ctx context.Context, target string) {
-	if !i.timers.Sleep(ctx, quarantiner.ProbeDelay) {
+	if !i.timers.Sleep(ctx, probeDelay) {
 		return
 	}
 	i.mu.Lock()
@@ -178,9 +179,7 @@
 	ctx, cancel := context.WithTimeout(ctx, quarantiner.ProbeTimeout)
 	defer cancel()
 	err := i.prober.Probe(ctx, target)
-	var network net.Error
-	silent := errors.As(err, &network) && network.Timeout()
-	return err != nil && !silent && !errors.Is(context.Cause(ctx), context.Canceled)
+	return quarantiner.Refuses(err) && !errors.Is(context.Cause(ctx), context.Canceled)
 }
 
 // HandleLost applies another relay's report of a lost target.
