Put a lost target down to the likeliest request

By its log the poison request had lost four targets and a query beside it three of them.

Cause: since evidence is kept by shard, the answer of another shard no longer clears a bystander. If all targets of a shard crash at once, none of its runs there can complete, and its losses stay.

A loss doesn't count against a request while another one, in flight at the same target, has more counted losses, two at least; only losses that count so are published.

--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -21,6 +21,7 @@
 type Quarantiner struct {
 	config            Config
 	suspects          map[uint64]*suspect
+	atTarget          lossIndex
 	entries           map[uint64]entry
 	completions       completions
 	pendingClearances map[Run]struct{}
@@ -40,6 +41,7 @@
 	return &Quarantiner{
 		config:            config,
 		suspects:          make(map[uint64]*suspect),
+		atTarget:          make(lossIndex),
 		entries:           make(map[uint64]entry),
 		pendingClearances: make(map[Run]struct{}),
 	}
@@ -49,10 +51,8 @@
 // zero if requests with it are admitted.
 func (q *Quarantiner) Quarantined(now time.Time, fingerprint uint64) time.Duration {
 	until := q.entries[fingerprint].until
-	if s := q.suspects[fingerprint]; s != nil {
-		if from, last, ok := s.quarantine(q.config); ok && !now.Before(from) {
-			until = later(until, later(from, last).Add(q.config.Period))
-		}
+	if from, last, ok := quarantineTime(q.config, q.blamed(fingerprint)); ok && !now.Before(from) {
+		until = later(until, later(from, last).Add(q.config.Period))
 	}
 	return max(until.Sub(now), 0)
 }
@@ -142,10 +142,10 @@
 	var updates []Entry
 	for fingerprint, s := range q.suspects {
 		if now.Sub(s.updatedAt) >= q.config.Period {
-			delete(q.suspects, fingerprint)
+			q.forget(fingerprint)
 			continue
 		}
-		from, last, ok := s.quarantine(q.config)
+		from, last, ok := quarantineTime(q.config, q.blamed(fingerprint))
 		if !ok || now.Before(from) {
 			continue
 		}
@@ -199,7 +199,10 @@
 		q.queueClearance(run)
 	}
 	l.counted = !q.discounted(run, l.at)
-	s.add(l)
+	if dropped, ok := s.add(l); ok {
+		q.atTarget.remove(dropped.target, fingerprint)
+	}
+	q.atTarget.add(l.target, fingerprint)
 }
 
 // discounted reports whether a loss at the given time doesn't count because of
@@ -316,7 +319,17 @@
 			evicted = fingerprint
 		}
 	}
-	delete(q.suspects, evicted)
+	q.forget(evicted)
+}
+
+// forget drops the record of a fingerprint.
+func (q *Quarantiner) forget(fingerprint uint64) {
+	if s := q.suspects[fingerprint]; s != nil {
+		for _, l := range s.losses {
+			q.atTarget.remove(l.target, fingerprint)
+		}
+	}
+	delete(q.suspects, fingerprint)
 }
 
 func (q *Quarantiner) entry(now time.Time, fingerprint uint64) Entry {
--- a/core/quarantiner/suspect.go
+++ b/core/quarantiner/suspect.go
@@ -51,12 +51,20 @@
 	return false
 }
 
-func (s *suspect) add(l loss) {
+// add adds a loss, and returns the one that it drops at the limit.
+func (s *suspect) add(l loss) (dropped loss, ok bool) {
 	if len(s.losses) == maxRememberedLosses {
+		dropped, ok = s.losses[0], true
 		s.losses = append(s.losses[:0], s.losses[1:]...)
 	}
 	s.losses = append(s.losses, l)
 	s.updatedAt = l.at
+	return dropped, ok
+}
+
+// countsAt reports whether the loss of a target is counted.
+func (s *suspect) countsAt(target string) bool {
+	return slices.ContainsFunc(s.losses, func(l loss) bool { return l.counted && l.target == target })
 }
 
 // clear cancels the losses of a part.
@@ -115,14 +123,12 @@
 	return parts
 }
 
-// quarantine returns the time from which the fingerprint is quarantined and the time of the
-// last loss, and false if it has too few losses.
-func (s *suspect) quarantine(config Config) (from, last time.Time, ok bool) {
+// quarantineTime returns the time from which a request with the losses is quarantined and the
+// time of the last one, and false if they are too few.
+func quarantineTime(config Config, losses []loss) (from, last time.Time, ok bool) {
 	var times []time.Time
-	for _, l := range s.losses {
-		if l.counted {
-			times = append(times, l.at)
-		}
+	for _, l := range losses {
+		times = append(times, l.at)
 	}
 	slices.SortFunc(times, time.Time.Compare)
 	for len(times) > 0 && times[len(times)-1].Sub(times[0]) > config.Period {
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -314,7 +314,7 @@
 	i.expireAbandoned(now)
 	maps.DeleteFunc(i.lostAt, func(_ string, at time.Time) bool { return now.Sub(at) > lostTargetTime })
 	suspects, quarantined := i.state.Len()
-	if len(i.reports.Due(now, i.state.Suspected)) > 0 {
+	if len(i.reports.Due(now, i.state.Blamed)) > 0 {
 		signal(i.due)
 	}
 	next := idlePeriod
@@ -343,7 +343,7 @@
 func (i *Inspector) Unpublished() []quarantiner.Report {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.reports.Due(i.timers.Now(), i.state.Suspected)
+	return i.reports.Due(i.timers.Now(), i.state.Blamed)
 }
 
 // MergeReports records the reports of another VM of the failure domain.
