--- a/review/rig/many_versions.go
+++ b/review/rig/many_versions.go
@@ -15,8 +15,11 @@
 // memoryMb is limits.memoryMb of the settings.
 const memoryMb = 284
 
-// changeGap is the time between two versions.
-const changeGap = 500 * time.Millisecond
+// Storms of configurations, each of the usual length, one begins after the other.
+const (
+	storms      = 13
+	stormPeriod = 7 * time.Second
+)
 
 // manyVersions writes version after version of a large configuration, in storms of the usual
 // length. A process that exceeds its memory is killed, as the platform does.
@@ -85,16 +88,18 @@
 		})
 	}
 	time.Sleep(3 * time.Second)
-	end := time.Now().Add(95 * time.Second)
-	for changes, running := 0, true; running && time.Now().Before(end); changes++ {
-		if trouble || changes%12 == 0 && changes < 36 {
-			configure()
-		}
-		select {
-		case <-killed:
-			running = false
-		case <-time.After(changeGap):
+	perStorm := int(stormLength / stormGap)
+	if !trouble {
+		perStorm = 1
+	}
+	for storm, running := 0, true; running && storm < storms; storm++ {
+		ends := time.Now().Add(stormPeriod)
+		for range perStorm {
+			if configure(); !sleepUnless(killed, stormGap) {
+				break
+			}
 		}
+		running = sleepUnless(killed, time.Until(ends))
 	}
 	time.Sleep(time.Second)
 	close(stop)
@@ -122,6 +127,16 @@
 	return lost
 }
 
+// sleepUnless waits, and returns false at once if the channel is closed.
+func sleepUnless(closed <-chan struct{}, d time.Duration) bool {
+	select {
+	case <-closed:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // residentMb returns the memory of a process in use, in MB.
 func residentMb(pid int) int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
