--- a/review/rig/config_storm.go
+++ b/review/rig/config_storm.go
@@ -14,6 +14,10 @@
 	configApply = 3 * time.Second
 )
 
+// largeRoutes is the number of routes of a large configuration: ten times the 350 routes of the
+// site's big_config. With them, a value stays just below valueBytes.
+const largeRoutes = 10 * 350
+
 // manyRoutes returns routes that no client uses. 350 of them have about 100 KB.
 func manyRoutes(n int) []map[string]any {
 	list := make([]map[string]any, n)
@@ -33,7 +37,7 @@
 		d.addBackend(fmt.Sprintf("i-cert-%d", i+1), "certificados", zone, 4, 16, work)
 		d.addBackend(fmt.Sprintf("i-muni-%d", i+1), "municipios", zone, 4, 16, work)
 	}
-	many := manyRoutes(3500)
+	many := manyRoutes(largeRoutes)
 	version := 10
 	configure := func(service string) {
 		version += 3
@@ -41,7 +45,7 @@
 			append([]map[string]any{route("/issue/", "non_idempotent", service, 2500*time.Millisecond, 250*time.Millisecond)}, many...)...)
 	}
 	configure("certificados")
-	d.start(zones, false)
+	d.start(zones)
 
 	var sent attempts
 	var clients sync.WaitGroup
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -65,6 +65,9 @@
 	os.Exit(2)
 }
 
+// valueBytes is platform.valueBytes of the settings.
+const valueBytes = 1048576
+
 // route describes a route to one service.
 func route(prefix, kind, service string, timeout, aim time.Duration) map[string]any {
 	return map[string]any{
@@ -86,6 +89,9 @@
 	if err != nil {
 		panic(err)
 	}
+	if len(value) > valueBytes {
+		cannotRun("a configuration of %d bytes is more than the store takes", len(value))
+	}
 	d.store.put("op/config", value)
 	d.record.add("the operator writes version %d of the configuration, %d bytes", version, len(value))
 }
--- a/review/rig/many_versions.go
+++ b/review/rig/many_versions.go
@@ -28,7 +28,7 @@
 	for i, zone := range []string{"rosario", "rosario", "santa-fe", "santa-fe", "parana"} {
 		d.addBackend(fmt.Sprintf("i-cert-%d", i+1), "certificados", zone, 40, 40, work)
 	}
-	many := manyRoutes(3900)
+	many := manyRoutes(largeRoutes)
 	version := 10
 	configure := func() {
 		version += 3
@@ -36,7 +36,7 @@
 			append([]map[string]any{route("/issue/", "non_idempotent", "certificados", 2500*time.Millisecond, time.Second)}, many...)...)
 	}
 	configure()
-	d.start(slices.Repeat([]string{"rosario"}, 9), false)
+	d.start(slices.Repeat([]string{"rosario"}, 9))
 
 	var sent attempts
 	var clients sync.WaitGroup
