--- a/review/rig/shorter_grace.go
+++ b/review/rig/shorter_grace.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,7 +24,7 @@
 		d.addBackend(fmt.Sprintf("i-cert-%d", i+1), "certificados", zones[i%len(zones)], 16, 16, work)
 	}
 	d.configure(7, []string{"certificados"}, route("/issue/", "non_idempotent", "certificados", 2500*time.Millisecond, time.Second))
-	d.start(zones, false)
+	d.start(slices.Repeat(zones, 2))
 	stopped := d.machines[0]
 
 	// Clients keep their connections, and reuse those that were idle for a few seconds. A
