--- a/review/rig/foreign_entry.go
+++ b/review/rig/foreign_entry.go
@@ -20,7 +20,7 @@
 	d.configure(7, []string{"certificados", "municipios"},
 		route("/issue/", "non_idempotent", "certificados", 2500*time.Millisecond, 250*time.Millisecond),
 		route("/report/", "idempotent", "municipios", 2500*time.Millisecond, 250*time.Millisecond))
-	d.start(zones, false)
+	d.start(zones)
 
 	var sent attempts
 	var clients sync.WaitGroup
