--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -53,6 +53,8 @@
 	conn     net.Conn
 	reader   *bufio.Reader
 	deadline time.Duration
+	// onSend is called with the id of each request before it is sent, if set.
+	onSend func(id string)
 }
 
 // send sends one request and waits for its answer. It opens a connection if none is kept.
@@ -78,6 +80,9 @@
 	if body != "" {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
+	if c.onSend != nil {
+		c.onSend(x.id)
+	}
 	x.sent = time.Now()
 	// The client waits a little longer for the final answer of the system.
 	_ = c.conn.SetDeadline(x.sent.Add(c.deadline + 500*time.Millisecond))
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 	"shorter-grace":   shorterGrace,
 	"many-versions":   manyVersions,
 	"config-storm":    configStorm,
+	"mixed-builds":    mixedBuilds,
 }
 
 func main() {
--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -29,10 +30,12 @@
 	// storeAddress is where this machine reaches the store.
 	storeAddress string
 	settings     string
-	graceS       int
-	logPath      string
-	command      *exec.Cmd
-	ended        chan struct{}
+	// dir is where the program was built.
+	dir     string
+	graceS  int
+	logPath string
+	command *exec.Cmd
+	ended   chan struct{}
 }
 
 func (m *machine) front() string { return fmt.Sprintf("%s:%d", m.ip, m.port+frontPort) }
@@ -136,8 +139,8 @@
 	if err != nil {
 		cannotRun("log: %v", err)
 	}
-	m.command = exec.Command("target/jackdawcart-entry", "serve", "--settings", "deploy/entry.hujson")
-	m.command.Dir = repository()
+	m.command = exec.Command(filepath.Join(m.dir, "target/jackdawcart-entry"), "serve", "--settings", "deploy/entry.hujson")
+	m.command.Dir = m.dir
 	m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "JACKDAWCART_SETTINGS=" + m.settings}
 	m.command.Stdout, m.command.Stderr = log, log
 	// The process must not outlive the script.
@@ -193,6 +196,8 @@
 	runs     *runs
 	record   *record
 	machines []*machine
+	// dirs holds, by the number of a machine, where its program was built if not here.
+	dirs     map[int]string
 	backends map[string]*backend
 }
 
@@ -226,7 +231,7 @@
 		go func() { _ = http.Serve(listener, d.store.handler()) }()
 		name := fmt.Sprintf("front-%s-%d", zone, i+1)
 		m := &machine{
-			name: name, zone: zone, ip: ips[i], port: port, storeAddress: listener.Addr().String(), graceS: 6,
+			name: name, zone: zone, dir: cmp.Or(d.dirs[i], repository()), ip: ips[i], port: port, storeAddress: listener.Addr().String(), graceS: 6,
 			settings: filepath.Join(d.dir, name+".conf"), logPath: filepath.Join(d.dir, name+".log"),
 		}
 		m.start()
