--- a/core/diverter/neighbours.go
+++ b/core/diverter/neighbours.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// Outside returns the VMs in failure domains that are not allowed, none if allowed is nil.
+func (n *Neighbours) Outside(allowed func(domain string) bool) container.Set[string] {
+	outside := container.NewSet[string]()
+	if allowed == nil {
+		return outside
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.members {
+		if !allowed(m.Domain) {
+			outside.Add(m.Name)
+		}
+	}
+	return outside
+}
+
 // maxNearTried is the number of VMs of the own failure domain that are asked before one of
 // another domain, because a whole domain may be cut off together.
 const maxNearTried = 2
--- a/core/registrar/registry.go
+++ b/core/registrar/registry.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/sequencer"
 )
 
@@ -115,6 +116,8 @@
 	records     map[string]*Record
 	byService   map[string][]Record
 	tombstones  map[string]*tombstone
+	// evacuated holds the failure domains whose targets get no requests.
+	evacuated container.Set[string]
 }
 
 // NewRegistry returns an empty registry.
@@ -137,7 +140,7 @@
 func (r *Registry) buildIndex() {
 	r.byService = make(map[string][]Record)
 	for _, record := range r.records {
-		if !record.Draining && !record.vacated {
+		if !record.Draining && !record.vacated && !r.evacuated.Has(record.Domain) {
 			r.byService[record.Service] = append(r.byService[record.Service], *record)
 		}
 	}
--- a/core/router/table.go
+++ b/core/router/table.go
@@ -38,6 +38,10 @@
 	MaxRecords int
 	// MinShardShare is the share of the shards that must answer for a success.
 	MinShardShare float64
+	// Public routes need no key.
+	Public bool
+	// Regions lists the regions in which requests may be handled; all if it is empty.
+	Regions []string
 }
 
 // Gathers reports whether the route sends a request to every shard of an index
@@ -49,6 +53,10 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int
+	// ColdTime is how long a target is cold after its start, and ColdRate the requests a
+	// second that all VMs together may send to a cold one; 0 means no limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Limits bounds the sizes and the timeouts of a caller's requests and connections.
@@ -67,6 +75,10 @@
 	routes         map[string][]*Route
 	routedServices map[string]bool
 	routeNames     map[string]bool
+	// workspaces is nil if the configuration has none.
+	workspaces    map[KeyDigest]*Workspace
+	workspaceList []*Workspace
+	keyConflicts  []KeyConflict
 }
 
 // NewTable returns the table of the given routes and services.
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -15,6 +15,7 @@
 	"jackdawcart.org/core/diverter"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/registrar"
+	"jackdawcart.org/core/router"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/courier"
 )
@@ -44,6 +45,11 @@
 	MaxBodyBytes int64
 	// Version is that of the configuration in force on this VM.
 	Version int64
+	// Key is the digest of the caller's key, if it was authorized by one.
+	Key container.Option[router.KeyDigest]
+	// Allowed reports whether a VM in a failure domain may handle the request. If it is nil,
+	// all may.
+	Allowed func(domain string) bool
 }
 
 // Outcome is how a request ended that was passed on.
@@ -92,7 +98,7 @@
 // has left, the answer has the grace period to arrive, which keeps its connection open.
 func (d *Delegator) Delegate(ctx context.Context, r Request, grace time.Duration) Outcome {
 	var outcome Outcome
-	tried := container.NewSet[string]()
+	tried := d.neighbours.Outside(r.Allowed)
 	for outcome.Asked < maxVMs {
 		m, ok := d.neighbours.Choose(d.timers.Now(), tried)
 		if !ok {
@@ -134,7 +140,7 @@
 // ask sends a request to a VM and waits for the answer, or until the caller leaves.
 func (d *Delegator) ask(ctx context.Context, m registrar.Member, r Request, grace time.Duration) (reply courier.Reply, callerLeft bool) {
 	replies := make(chan courier.Reply, 1)
-	hop := Hop{VM: d.self.Name, MinVersion: max(r.Version, d.Version()), Elapsed: d.timers.Now().Sub(r.Arrived)}
+	hop := Hop{VM: d.self.Name, MinVersion: max(r.Version, d.Version()), Elapsed: d.timers.Now().Sub(r.Arrived), Key: r.Key}
 	pool := d.pools.Pool(m.Name, m.RequestAddress, courier.Options{MaxOpen: maxConnections, IdleTimeout: idleTimeout})
 	exchange := pool.Send(d.timers.Now(), courier.Request{
 		Method: r.Method, RequestID: r.ID, Body: r.Body, Deadline: r.Deadline, MaxBodyBytes: r.MaxBodyBytes, AnyAnswer: true,
--- a/entry/delegator/hop.go
+++ b/entry/delegator/hop.go
@@ -1,9 +1,13 @@
 package delegator
 
 import (
+	"encoding/hex"
 	"net/http"
 	"strconv"
 	"time"
+
+	"jackdawcart.org/core/container"
+	"jackdawcart.org/core/router"
 )
 
 // Headers between entry VMs. Those of a request are removed before it is sent to a target.
@@ -13,6 +17,8 @@
 	headerElapsedMs   = "Jackdawcart-Elapsed-Ms"
 	headerUnavailable = "Jackdawcart-Unavailable"
 	headerStoppingMs  = "Jackdawcart-Stopping-Ms"
+	// headerKeyDigest holds the digest of the caller's key, in hexadecimal digits.
+	headerKeyDigest = "Jackdawcart-Key-Digest"
 )
 
 // Hop is what a VM says of a request that it passes on.
@@ -23,14 +29,21 @@
 	MinVersion int64
 	// Elapsed is how long ago the request arrived at that VM.
 	Elapsed time.Duration
+	// Key is the digest of the caller's key, if there is one. The VM that takes the request
+	// authorizes it by its own configuration.
+	Key container.Option[router.KeyDigest]
 }
 
 func (h Hop) header() http.Header {
-	return http.Header{
+	header := http.Header{
 		headerVM:        {h.VM},
 		headerVersion:   {strconv.FormatInt(h.MinVersion, 10)},
 		headerElapsedMs: {strconv.FormatInt(h.Elapsed.Milliseconds(), 10)},
 	}
+	if key, ok := h.Key.Get(); ok {
+		header.Set(headerKeyDigest, hex.EncodeToString(key[:]))
+	}
+	return header
 }
 
 // TakeHop removes the headers of the hop from a request and returns them. Values that
@@ -40,13 +53,17 @@
 	if elapsed, err := strconv.ParseInt(header.Get(headerElapsedMs), 10, 64); err == nil && elapsed > 0 {
 		hop.Elapsed = time.Duration(elapsed) * time.Millisecond
 	}
+	var key router.KeyDigest
+	if digest, err := hex.DecodeString(header.Get(headerKeyDigest)); err == nil && copy(key[:], digest) == len(key) {
+		hop.Key = container.Some(key)
+	}
 	RemoveHop(header)
 	return hop
 }
 
 // RemoveHop removes the headers of a hop, which a caller has no reason to send.
 func RemoveHop(header http.Header) {
-	for _, name := range []string{headerVM, headerVersion, headerElapsedMs, headerUnavailable, headerStoppingMs} {
+	for _, name := range []string{headerVM, headerVersion, headerElapsedMs, headerUnavailable, headerStoppingMs, headerKeyDigest} {
 		header.Del(name)
 	}
 }
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
 	"jackdawcart.org/core/sequencer"
@@ -101,6 +102,8 @@
 	members   []registrar.Member
 	// readAt is the position of the last full read, zero before the first one.
 	readAt sequencer.Position
+	// evacuated holds the failure domains whose targets get no requests.
+	evacuated container.Set[string]
 }
 
 // Listeners are called after each change of the State and of the entry VMs.
@@ -108,6 +111,8 @@
 	Table    func(*router.Table)
 	Target   func(registrar.Event)
 	EntryVMs func(members []registrar.Member)
+	// Evacuated is called with all failure domains whose targets must get no requests.
+	Evacuated func(domains container.Set[string])
 	// AllItems is called with everything in the store, ChangedItems with each change.
 	AllItems, ChangedItems func(items []storer.Item)
 }
@@ -128,6 +133,7 @@
 
 func (f *Follower) replaceAll(listing storer.Listing) {
 	f.applyConfigurations(listing)
+	f.replaceEvacuations(listing.Items)
 	f.replaceTargets(listing)
 	var members []registrar.Member
 	for _, item := range listing.Items {
@@ -142,6 +148,7 @@
 
 func (f *Follower) applyChanges(listing storer.Listing) {
 	f.applyConfigurations(listing)
+	f.applyEvacuations(listing.Items)
 	f.applyTargetChanges(listing)
 	for _, item := range listing.Items {
 		member, ok := f.member(item)
@@ -271,7 +278,10 @@
 			continue
 		}
 		f.log.Info("configuration in force", zap.Int64("version", table.Version),
-			zap.Uint64("revision", item.Revision), zap.Uint64("era", listing.Position.Era), zap.Int("routes", table.RouteCount()))
+			zap.Uint64("revision", item.Revision), zap.Uint64("era", listing.Position.Era), zap.Int("routes", table.RouteCount()), zap.Int("workspaces", len(table.Workspaces())))
+		for _, c := range table.KeyConflicts() {
+			f.log.Warn("two workspaces have the same key, which counts for the first", zap.String("workspace", c.Holder), zap.String("other", c.Other))
+		}
 		f.listeners.Table(table)
 	}
 }
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
 	"jackdawcart.org/core/sequencer"
@@ -275,7 +276,7 @@
 		fx.store.put(decoder.ConfigurationKey, version(1))
 		f := follower.New(follower.DefaultConfig(3*time.Second, 4*time.Second), fx.store, fx.link, fx.peers, fx.state, timers, zap.NewNop(),
 			follower.Listeners{
-				Table: func(*router.Table) {}, Target: func(registrar.Event) {}, EntryVMs: func([]registrar.Member) {},
+				Table: func(*router.Table) {}, Target: func(registrar.Event) {}, EntryVMs: func([]registrar.Member) {}, Evacuated: func(container.Set[string]) {},
 				AllItems: func([]storer.Item) {}, ChangedItems: func([]storer.Item) {},
 			})
 		ctx, stop := context.WithCancel(t.Context())
--- a/entry/follower/state.go
+++ b/entry/follower/state.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
 )
@@ -63,3 +64,10 @@
 	defer s.mu.Unlock()
 	f(s.registry)
 }
+
+// InDomains returns the targets in the given failure domains, evacuated or not.
+func (s *State) InDomains(domains container.Set[string]) []registrar.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.InDomains(domains)
+}
--- a/entry/responder/admission.go
+++ b/entry/responder/admission.go
@@ -35,15 +35,15 @@
 }
 
 // admit reports whether a query is admitted.
-func (a *admission) admit(now time.Time, route *router.Route) (refusal, bool) {
+func (a *admission) admit(now time.Time, route *router.Route, rank int) (refusal, bool) {
 	if !route.Gathers() {
 		return refusal{}, true
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t := a.throttle(now, route)
-	share := t.Share(now, route.Priority)
-	if t.Admit(now, route.Priority, rand.Float64()) {
+	share := t.Share(now, rank)
+	if t.Admit(now, rank, rand.Float64()) {
 		return refusal{}, true
 	}
 	queries, served := t.Counts()
@@ -51,13 +51,13 @@
 }
 
 // ended records the end of an admitted query.
-func (a *admission) ended(now time.Time, route *router.Route, served bool) {
+func (a *admission) ended(now time.Time, route *router.Route, rank int, served bool) {
 	if !route.Gathers() {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.throttle(now, route).Ended(now, route.Priority, served)
+	a.throttle(now, route).Ended(now, rank, served)
 }
 
 // throttle returns the throttle of a route's index, which is identified by its first
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -28,6 +28,9 @@
 	// fingerprint is the same for equal requests.
 	fingerprint uint64
 	hop         hop
+	caller      caller
+	// rank is the order in which requests are admitted, 0 first.
+	rank int
 
 	query       *forwarder.Query
 	requestLine []byte
@@ -85,7 +88,7 @@
 	if c.hop.delegated {
 		config.CallerTime += hopTime
 	}
-	c.query = forwarder.New(config, r.Placer, r.Directory, c.table, c.route, c.services, c.arrived, c.deadline)
+	c.query = forwarder.New(config, r.Placer, c.directory(), c.table, c.route, c.services, c.arrived, c.deadline)
 	c.query.TryFirst(r.Inspector.SuspectedParts(c.fingerprint))
 	c.subRequests = make([]subRequest, 0, len(c.services)+len(c.services)/4)
 	c.exchanges = make([]*courier.Exchange, 0, cap(c.subRequests))
@@ -127,7 +130,7 @@
 func (c *call) encode(request *http.Request) {
 	c.method = request.Method
 	c.requestLine = []byte(request.Method + " " + request.RequestURI + " HTTP/1.1\r\n")
-	c.head = decoder.NewTargetHeader(request.Host, request.Header, c.body)
+	c.head = decoder.NewTargetHeader(request.Host, request.Header, c.body, c.caller.identity())
 }
 
 func (c *call) send(now time.Time, sends []forwarder.Send) {
--- a/entry/responder/delegate.go
+++ b/entry/responder/delegate.go
@@ -120,7 +120,7 @@
 func (c *call) hasTargets() bool {
 	n := 0
 	for _, service := range c.services {
-		if len(c.responder.Directory.Targets(service)) > 0 {
+		if len(c.directory().Targets(service)) > 0 {
 			n++
 		}
 	}
@@ -141,10 +141,13 @@
 	ctx, cancel := r.endedByStop(ctx)
 	defer cancel()
 	c.encode(request)
-	requestLine, common := c.requestLine, c.head
+	requestLine := c.requestLine
+	// The other VM authorizes the caller itself and names the workspace to the target.
+	common := decoder.NewTargetHeader(request.Host, request.Header, c.body, decoder.Identity{Known: c.caller.known})
 	outcome := r.Delegator.Delegate(ctx, delegator.Request{
 		Method: c.method, ID: c.id, Body: c.body, Arrived: c.arrived, Deadline: c.deadline,
 		MaxBodyBytes: r.config.MaxAnswerBytes, Version: c.table.Version,
+		Key: c.caller.key, Allowed: c.allowedVM(),
 		Head: func(more http.Header, left time.Duration) []byte {
 			return common.AppendForVM(append([]byte(nil), requestLine...), more, left)
 		},
--- a/entry/responder/report.go
+++ b/entry/responder/report.go
@@ -28,6 +28,14 @@
 	return zap.String("fingerprint", quarantiner.FormatFingerprint(c.fingerprint))
 }
 
+// field returns the field that names the workspace of a request.
+func (c caller) field() zap.Field {
+	if c.workspace == nil {
+		return zap.Skip()
+	}
+	return zap.String("workspace", c.workspace.Name)
+}
+
 // field returns the field that names the VM which has passed a request on.
 func (h hop) field() zap.Field {
 	if !h.delegated {
@@ -56,7 +64,7 @@
 func (c *call) logEnd(decision forwarder.Decision, status int, took time.Duration) {
 	c.responder.log.Info("request ended",
 		zap.String("request", c.id), c.fingerprintField(), ifSet("crashed", c.crashed), ifSet("stopped", c.stopped),
-		zap.String("route", c.route.Name), zap.Int64("version", c.table.Version),
+		zap.String("route", c.route.Name), c.caller.field(), zap.Int64("version", c.table.Version),
 		zap.Stringer("verdict", decision), zap.Int("status", status), zap.Duration("took", took),
 		zap.Duration("aim", c.route.LatencyObjective), zap.Int("shards", len(c.services)), zap.Int("missing", c.query.Missing()),
 		zap.Int("hedges", c.hedges), zap.Int("retries", c.retries), zap.Int("remote", c.remote),
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -78,8 +78,9 @@
 
 // Dependencies holds the services that the responder uses.
 type Dependencies struct {
-	// Domain is the failure domain of the entry VM.
+	// Domain is the failure domain of the entry VM, and Regions the region of each domain.
 	Domain    string
+	Regions   map[string]string
 	Directory Directory
 	Placer    *placer.Placer
 	Pools     *courier.Pools
@@ -174,6 +175,11 @@
 		r.refuse(w, request, arrived, http.StatusRequestHeaderFieldsTooLarge, "head too large", 0)
 		return
 	}
+	caller, ok := authorize(table, route, request, h)
+	if !ok {
+		r.refuse(w, request, arrived, http.StatusUnauthorized, "unauthorized", 0)
+		return
+	}
 	if r.refuseLate(w, request, arrived, route, h) {
 		return
 	}
@@ -192,7 +198,7 @@
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "route without service", noConfigurationRetry)
 		return
 	}
-	fingerprint := quarantiner.Fingerprint(request.Host, request.Method+" "+request.RequestURI, string(body))
+	fingerprint := quarantiner.Fingerprint(request.Host, caller.scope()+request.Method+" "+request.RequestURI, string(body))
 	if remaining := r.Inspector.Quarantined(fingerprint); remaining > 0 {
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "quarantined", remaining,
 			zap.String("fingerprint", quarantiner.FormatFingerprint(fingerprint)), zap.Duration("remaining", remaining))
@@ -201,13 +207,14 @@
 	c := &call{
 		responder: r, table: table, route: route, services: services, arrived: arrived, hop: h,
 		id: decoder.RequestID(request.Header), deadline: deadline, body: body, fingerprint: fingerprint,
+		caller: caller, rank: table.Rank(route, caller.workspace),
 	}
 	if r.passOnFirst(w, request, c) {
 		return
 	}
-	if overload, ok := r.admission.admit(arrived, route); !ok {
+	if overload, ok := r.admission.admit(arrived, route, c.rank); !ok {
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "overload", retryAfterOverload(route.LatencyObjective),
-			overload.fields(route.Priority)...)
+			overload.fields(c.rank)...)
 		return
 	}
 	r.run(w, request, c)
@@ -270,7 +277,7 @@
 	defer span.End()
 	decision := c.run(ctx, request)
 	if c.reachesNoTarget(decision) {
-		r.admission.ended(r.Timers.Now(), c.route, true)
+		r.admission.ended(r.Timers.Now(), c.route, c.rank, true)
 		if r.passOnUnsent(w, request, c) {
 			return
 		}
@@ -278,7 +285,7 @@
 	status := c.write(w, decision)
 	now := r.Timers.Now()
 	took := now.Sub(c.arrived)
-	r.admission.ended(now, c.route, !c.overloaded(decision, took))
+	r.admission.ended(now, c.route, c.rank, !c.overloaded(decision, took))
 	r.metrics.latency.RecordDuration(took)
 	r.metrics.scope.Tagged(map[string]string{"verdict": decision.String()}).Counter("requests_ended").Inc(1)
 	span.SetAttributes(attribute.Int("status", status))
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/diverter"
 	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/meter"
@@ -133,7 +134,7 @@
 	e.peerServer = informer.NewServer(peerConfig, e.link, e.store, e.placer, e.inspector, e.timers, e.log)
 	e.follower = follower.New(config, e.store, e.link, peers{e.peerClient, e.peerServer}, e.state, e.timers, e.log,
 		follower.Listeners{
-			Table: e.onTable, Target: e.onTarget, EntryVMs: e.onEntryVMs,
+			Table: e.onTable, Target: e.onTarget, EntryVMs: e.onEntryVMs, Evacuated: e.onEvacuated,
 			AllItems: e.inspector.ReplaceItems, ChangedItems: e.inspector.ApplyItems,
 		})
 	e.announcer = announcer.New(announcer.DefaultConfig(e.platform.ShutdownGrace), self, e.peerServer.HasClients, e.store, e.link, e.timers, e.log)
@@ -173,7 +174,7 @@
 	config := responder.DefaultConfig()
 	config.Query.CallerTime = e.own.CallerTime
 	e.responder = responder.New(config, responder.Dependencies{
-		Domain: e.platform.Domain, Directory: e.state, Placer: e.placer, Pools: e.pools, Timers: e.timers, Spans: e.spans,
+		Domain: e.platform.Domain, Regions: e.platform.Regions, Directory: e.state, Placer: e.placer, Pools: e.pools, Timers: e.timers, Spans: e.spans,
 		Inspector: e.inspector, Detector: diverter.NewDetector(), Delegator: e.delegator, OnVacated: e.follower.Vacate,
 	}, e.metrics.Scope, e.log)
 	e.ready = &readiness{state: e.state}
@@ -233,6 +234,18 @@
 	}
 }
 
+// onEvacuated ends the connections to the targets of evacuated failure domains, on which
+// requests may be waiting, and reopens those to the others.
+func (e *entry) onEvacuated(domains container.Set[string]) {
+	e.metrics.Scope.Gauge("evacuated_domains").Update(float64(len(domains)))
+	for _, record := range e.state.InDomains(domains) {
+		e.pools.Retire(record.ID)
+	}
+	if table := e.state.Table(); table != nil {
+		e.preconnect(table)
+	}
+}
+
 func (e *entry) onTable(table *router.Table) {
 	e.sweepState(table)
 	e.preconnect(table)
