--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
+	"jackdawcart.org/core/container"
 	"jackdawcart.org/core/router"
 )
 
@@ -43,3 +45,20 @@
 		t.Fatal("a service was selected from an empty split")
 	}
 }
+
+// Requests of workspaces with an urgent priority must come first whatever their route, and
+// urgent routes first among equal workspaces.
+func TestRankOfWorkspaces(t *testing.T) {
+	table := router.NewTable(1, router.Limits{}, nil, nil)
+	patient, urgent := &router.Route{Priority: 2}, &router.Route{Priority: 0}
+	if got := table.Rank(patient, nil); got != patient.Priority {
+		t.Errorf("rank %d without workspaces, want the priority of the route, %d", got, patient.Priority)
+	}
+	table.SetWorkspaces(nil)
+	first := &router.Workspace{Name: "first", Priority: container.Some(0)}
+	second := &router.Workspace{Name: "second", Priority: container.Some(1)}
+	ranks := []int{table.Rank(urgent, first), table.Rank(patient, first), table.Rank(urgent, second), table.Rank(patient, second)}
+	if !slices.IsSorted(ranks) || len(slices.Compact(slices.Clone(ranks))) != len(ranks) {
+		t.Errorf("ranks %v are not in order", ranks)
+	}
+}
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -374,6 +374,34 @@
 	})
 }
 
+// Targets of an evacuated failure domain must get no requests until the evacuation is taken
+// back, also one that registers meanwhile; evacuations that end while nothing is read count.
+func TestEvacuatedTargets(t *testing.T) {
+	run(t, func(fx *fixture) {
+		targets := func() int {
+			time.Sleep(2 * time.Second)
+			return len(fx.state.Targets("shard"))
+		}
+		fx.store.put("servers/i-1", registration("ready"))
+		if got := targets(); got != 1 {
+			t.Fatalf("%d targets before the evacuation, want 1", got)
+		}
+		fx.store.put("op/evacuate/a", struct{}{})
+		fx.store.put("op/evacuate/b", struct{}{})
+		if got := targets(); got != 0 {
+			t.Errorf("%d targets in an evacuated failure domain, want none", got)
+		}
+		fx.store.put("servers/i-2", registration("ready"))
+		if got := targets(); got != 0 {
+			t.Errorf("%d targets that registered in an evacuated failure domain, want none", got)
+		}
+		fx.store.remove("op/evacuate/a")
+		if got := targets(); got != 2 {
+			t.Errorf("%d targets after the evacuation was taken back, want 2", got)
+		}
+	})
+}
+
 // Without an outage, a target whose registration ends is removed at once.
 func TestRemovedRegistrationIsNotHeld(t *testing.T) {
 	run(t, func(fx *fixture) {
