Room of overloaded targets is shared between workspaces

Under overload the throttle rejected by priority only, each VM by its own failures: a workspace that bursts took as much from the others as from itself.

core/sharer divides the room by max-min fairness, with the loads of all VMs of the failure domain, which travel with the evidence. Configurations without workspaces are throttled as before.

--- a/entry/informer/client.go
+++ b/entry/informer/client.go
@@ -30,6 +30,7 @@
 	dial    Dialer
 	eras    Eras
 	tracker EvidenceTracker
+	loads   LoadTracker
 	reports ReportTracker
 	timers  *timer.Service
 	count   func(outcome string)
@@ -47,11 +48,11 @@
 
 // NewClient returns the client of the VM self. It calls count with the outcome of
 // each request.
-func NewClient(config Config, self registrar.Member, dial Dialer, eras Eras, tracker EvidenceTracker, reports ReportTracker, timers *timer.Service,
+func NewClient(config Config, self registrar.Member, dial Dialer, eras Eras, tracker EvidenceTracker, loads LoadTracker, reports ReportTracker, timers *timer.Service,
 	count func(outcome string), log *zap.Logger,
 ) *Client {
 	return &Client{
-		config: config, self: self, dial: dial, eras: eras, tracker: tracker, reports: reports, timers: timers, count: count, log: log,
+		config: config, self: self, dial: dial, eras: eras, tracker: tracker, loads: loads, reports: reports, timers: timers, count: count, log: log,
 		retryAt: make(map[string]time.Time),
 	}
 }
@@ -142,7 +143,7 @@
 	_ = conn.SetDeadline(time.Now().Add(c.config.Wait + c.config.AnswerMargin))
 	request := &informerpb.Request{
 		After: after.Revision, Era: after.Era, Wait: durationpb.New(c.config.Wait), Evidence: toEvidence(c.tracker.TakeEvidence()),
-		Reports: toReports(c.reports.Unpublished()),
+		Reports: toReports(c.reports.Unpublished()), Loads: toLoads(c.loads.TakeLoads()),
 	}
 	if err := conn.write(request); err != nil {
 		return storer.Listing{}, &Error{Op: "ask", Kind: KindUnanswered, Err: err}
@@ -153,6 +154,7 @@
 	}
 	c.eras.ObserveEra(answer.GetEra())
 	c.tracker.MergeEvidence(c.timers.Now(), fromEvidence(answer.GetEvidence()))
+	c.loads.MergeLoads(c.timers.Now(), fromLoads(answer.GetLoads()))
 	c.reports.MergeReports(c.timers.Now(), fromReports(answer.GetReports()))
 	switch answer.GetState() {
 	case informerpb.State_STATE_READING:
--- a/entry/informer/evidence.go
+++ b/entry/informer/evidence.go
@@ -1,8 +1,11 @@
 package informer
 
-import "jackdawcart.org/core/placer"
+import (
+	"jackdawcart.org/core/placer"
+	"jackdawcart.org/core/sharer"
+)
 
-// evidenceLog holds the latest batches of evidence of all VMs. Batches are numbered
+// evidenceLog holds the latest batches of evidence and loads of all VMs. Batches are numbered
 // consecutively; next is the position after the last one.
 type evidenceLog struct {
 	max     int
@@ -13,28 +16,33 @@
 type batch struct {
 	sender   string
 	evidence []placer.Evidence
+	loads    []sharer.IndexLoad
 }
 
-func (l *evidenceLog) add(sender string, evidence []placer.Evidence) {
-	if len(evidence) == 0 {
+func (l *evidenceLog) add(sender string, evidence []placer.Evidence, loads []sharer.IndexLoad) {
+	if len(evidence) == 0 && len(loads) == 0 {
 		return
 	}
 	l.next++
-	l.batches = append(l.batches, batch{sender, evidence})
+	l.batches = append(l.batches, batch{sender, evidence, loads})
 	if len(l.batches) > l.max {
 		l.batches = append([]batch(nil), l.batches[len(l.batches)-l.max:]...)
 	}
 }
 
-// since returns the evidence that VMs other than sender added from the cursor on,
-// merged for each target, and the next cursor.
-func (l *evidenceLog) since(cursor uint64, sender string) (merged []placer.Evidence, next uint64) {
+// since returns the evidence and the loads that VMs other than sender added from the cursor
+// on, merged for each target and each class of requests, and the next cursor.
+func (l *evidenceLog) since(cursor uint64, sender string) (merged []placer.Evidence, loads []sharer.IndexLoad, next uint64) {
 	available := int(min(l.next-min(cursor, l.next), uint64(len(l.batches))))
 	indexes := make(map[string]int)
+	positions := make(map[loadKey]int)
 	for _, b := range l.batches[len(l.batches)-available:] {
 		if b.sender == sender {
 			continue
 		}
+		for _, load := range b.loads {
+			loads = addLoad(loads, positions, load)
+		}
 		for _, e := range b.evidence {
 			i, ok := indexes[e.Target]
 			if !ok {
@@ -45,7 +53,7 @@
 			merged[i] = mergeEvidence(merged[i], e)
 		}
 	}
-	return merged, l.next
+	return merged, loads, l.next
 }
 
 func mergeEvidence(a, b placer.Evidence) placer.Evidence {
--- a/entry/informer/informer.go
+++ b/entry/informer/informer.go
@@ -12,6 +12,7 @@
 
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/quarantiner"
+	"jackdawcart.org/core/sharer"
 )
 
 // Config holds the timeouts and limits of the exchange between VMs.
@@ -75,3 +76,9 @@
 	TakeEvidence() []placer.Evidence
 	MergeEvidence(now time.Time, evidence []placer.Evidence)
 }
+
+// LoadTracker returns the loads of this process and merges those of others.
+type LoadTracker interface {
+	TakeLoads() []sharer.IndexLoad
+	MergeLoads(now time.Time, loads []sharer.IndexLoad)
+}
--- a/entry/informer/informer_test.go
+++ b/entry/informer/informer_test.go
@@ -19,6 +19,7 @@
 	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/sequencer"
+	"jackdawcart.org/core/sharer"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/informer"
@@ -93,6 +94,7 @@
 	member  registrar.Member
 	link    *supervisor.Link
 	tracker *tracker
+	shares  *sharer.Group
 	server  *informer.Server
 	client  *informer.Client
 	stop    context.CancelFunc
@@ -109,12 +111,13 @@
 		member:  registrar.Member{Name: name, Domain: "a", Address: netip.MustParseAddrPort(listener.Addr().String())},
 		link:    supervisor.NewLink(timers.Now(), time.Second),
 		tracker: &tracker{},
+		shares:  sharer.NewGroup(sharer.DefaultConfig()),
 		reports: &reports{},
 		eras:    &eras{},
 	}
 	config := informer.DefaultConfig()
-	v.server = informer.NewServer(config, v.link, v.eras, v.tracker, v.reports, timers, zap.NewNop())
-	v.client = informer.NewClient(config, v.member, dial, v.eras, v.tracker, v.reports, timers, func(string) {}, zap.NewNop())
+	v.server = informer.NewServer(config, v.link, v.eras, v.tracker, v.shares, v.reports, timers, zap.NewNop())
+	v.client = informer.NewClient(config, v.member, dial, v.eras, v.tracker, v.shares, v.reports, timers, func(string) {}, zap.NewNop())
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
 	var tasks sync.WaitGroup
@@ -274,6 +277,30 @@
 	}
 }
 
+// Each VM alone sees too few requests to tell which workspace bursts: their loads must reach
+// the other VMs of the domain.
+func TestLoadsReachOtherVMs(t *testing.T) {
+	vms := newDomain(t, "vm-1", "vm-2", "vm-3")
+	vms[0].link.Succeeded(time.Now())
+	vms[0].server.PublishSnapshot(at(1))
+	class := sharer.Class{Rank: 2, Workspace: "w"}
+	poll := func(v *vm) { v.client.Watch(t.Context(), at(1)) }
+	poll(vms[1])
+	poll(vms[2])
+	for range 100 {
+		vms[1].shares.Ended(time.Now(), "index", class, false)
+	}
+	for _, v := range []*vm{vms[1], vms[2], vms[2]} {
+		poll(v)
+	}
+	time.Sleep(2 * informer.DefaultConfig().Wait)
+	for i, v := range vms {
+		if _, admitted := v.shares.Admit(time.Now(), "index", class, 0.5); admitted {
+			t.Errorf("VM %d admits half of the requests to an index at which all fail", i)
+		}
+	}
+}
+
 // Evidence of one VM must reach the other VMs of its domain once, and must not
 // return to its sender, which would count it twice.
 func TestEvidenceReachesOtherVMs(t *testing.T) {
@@ -407,7 +434,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	client := informer.NewClient(informer.DefaultConfig(), poller.member, hang, poller.eras, poller.tracker, poller.reports, timers,
+	client := informer.NewClient(informer.DefaultConfig(), poller.member, hang, poller.eras, poller.tracker, poller.shares, poller.reports, timers,
 		func(string) {}, zap.NewNop())
 	client.SetMembers(members)
 	start := time.Now()
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -38,6 +38,7 @@
 	link    Link
 	eras    Eras
 	tracker EvidenceTracker
+	loads   LoadTracker
 	reports ReportTracker
 	timers  *timer.Service
 	log     *zap.Logger
@@ -54,9 +55,11 @@
 
 // NewServer returns a server that serves no changes until the first call of
 // PublishSnapshot or PublishChanges.
-func NewServer(config Config, link Link, eras Eras, tracker EvidenceTracker, reports ReportTracker, timers *timer.Service, log *zap.Logger) *Server {
+func NewServer(config Config, link Link, eras Eras, tracker EvidenceTracker, loads LoadTracker, reports ReportTracker, timers *timer.Service,
+	log *zap.Logger,
+) *Server {
 	return &Server{
-		config: config, link: link, eras: eras, tracker: tracker, reports: reports, timers: timers, log: log,
+		config: config, link: link, eras: eras, tracker: tracker, loads: loads, reports: reports, timers: timers, log: log,
 		history: history{max: config.MaxItems}, evidenceLog: evidenceLog{max: config.MaxBatches}, changed: make(chan struct{}),
 	}
 }
@@ -156,10 +159,10 @@
 		answer := s.answer(ctx, &request)
 		answer.Reports, answer.Era = toReports(s.reports.Unpublished()), s.eras.Era()
 		s.mu.Lock()
-		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence()))
-		remote, n := s.evidenceLog.since(next, peer)
+		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence()), fromLoads(request.GetLoads()))
+		remote, loads, n := s.evidenceLog.since(next, peer)
 		s.mu.Unlock()
-		next, answer.Evidence = n, toEvidence(remote)
+		next, answer.Evidence, answer.Loads = n, toEvidence(remote), toLoads(loads)
 		if err := conn.write(answer); err != nil {
 			s.log.Debug("connection to polling VM lost", zap.String("peer", peer), zap.Error(err))
 			return
@@ -222,13 +225,14 @@
 			if !s.HasClients() {
 				continue
 			}
-			own := s.tracker.TakeEvidence()
+			own, ownLoads := s.tracker.TakeEvidence(), s.loads.TakeLoads()
 			s.mu.Lock()
-			s.evidenceLog.add(ownSender, own)
-			remote, n := s.evidenceLog.since(next, ownSender)
+			s.evidenceLog.add(ownSender, own, ownLoads)
+			remote, loads, n := s.evidenceLog.since(next, ownSender)
 			s.mu.Unlock()
 			next = n
 			s.tracker.MergeEvidence(now, remote)
+			s.loads.MergeLoads(now, loads)
 		case <-ctx.Done():
 			return
 		}
--- a/entry/responder/admission.go
+++ b/entry/responder/admission.go
@@ -11,6 +11,7 @@
 	"jackdawcart.org/core/forwarder"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/sharer"
 	"jackdawcart.org/core/throttler"
 )
 
@@ -73,6 +74,32 @@
 	return t
 }
 
+// admit reports whether the request is admitted. With workspaces the room is shared between
+// them on all routes; without them only scatter-gather queries are throttled.
+func (c *call) admit(now time.Time) (refusal, bool) {
+	r := c.responder
+	if !c.caller.known {
+		return r.admission.admit(now, c.route, c.rank)
+	}
+	known, ok := r.Shares.Admit(now, c.services[0], c.class(), rand.Float64())
+	return refusal{share: known.Share, queries: known.Total.Requests, served: known.Total.Served}, ok
+}
+
+// admissionEnded records the end of an admitted request. served is false only if overload made
+// it fail or late.
+func (c *call) admissionEnded(now time.Time, served bool) {
+	r := c.responder
+	if !c.caller.known {
+		r.admission.ended(now, c.route, c.rank, served)
+		return
+	}
+	r.Shares.Ended(now, c.services[0], c.class(), served)
+}
+
+// class returns the kind of request for which room is shared. The first shard identifies an
+// index.
+func (c *call) class() sharer.Class { return sharer.Class{Rank: c.rank, Workspace: c.caller.name()} }
+
 // retryAfterOverload returns when the caller of a rejected query may try again. By
 // about a latency objective later the queries that are running have ended. The random
 // spread keeps rejected callers from returning together.
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -21,6 +21,7 @@
 	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/sharer"
 	"jackdawcart.org/core/stopper"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
@@ -89,6 +90,8 @@
 	Inspector Inspector
 	Detector  *diverter.Detector
 	Delegator Delegator
+	// Shares divides the room of overloaded targets between workspaces.
+	Shares *sharer.Group
 	// OnVacated is called with the ID of a target when another target answers at
 	// its address.
 	OnVacated func(target string)
@@ -212,9 +215,9 @@
 	if r.passOnFirst(w, request, c) {
 		return
 	}
-	if overload, ok := r.admission.admit(arrived, route, c.rank); !ok {
+	if overload, ok := c.admit(arrived); !ok {
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "overload", retryAfterOverload(route.LatencyObjective),
-			overload.fields(c.rank)...)
+			append(overload.fields(c.rank), c.caller.field())...)
 		return
 	}
 	r.run(w, request, c)
@@ -277,7 +280,7 @@
 	defer span.End()
 	decision := c.run(ctx, request)
 	if c.reachesNoTarget(decision) {
-		r.admission.ended(r.Timers.Now(), c.route, c.rank, true)
+		c.admissionEnded(r.Timers.Now(), true)
 		if r.passOnUnsent(w, request, c) {
 			return
 		}
@@ -285,7 +288,7 @@
 	status := c.write(w, decision)
 	now := r.Timers.Now()
 	took := now.Sub(c.arrived)
-	r.admission.ended(now, c.route, c.rank, !c.overloaded(decision, took))
+	c.admissionEnded(now, !c.overloaded(decision, took))
 	r.metrics.latency.RecordDuration(took)
 	r.metrics.scope.Tagged(map[string]string{"verdict": decision.String()}).Counter("requests_ended").Inc(1)
 	span.SetAttributes(attribute.Int("status", status))
--- a/entry/responder/responder_test.go
+++ b/entry/responder/responder_test.go
@@ -20,6 +20,7 @@
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/sharer"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
 	"jackdawcart.org/entry/courier"
@@ -93,6 +94,7 @@
 		Inspector: inspector.New(dial, timer.NewService(), tally.NoopScope, zap.NewNop()),
 		Detector:  diverter.NewDetector(),
 		Delegator: delegator.New(registrar.Member{Name: "vm-1", Domain: "a"}, dial, timer.NewService()),
+		Shares:    sharer.NewGroup(sharer.DefaultConfig()),
 		OnVacated: func(string) {},
 	}, fx.scope, zap.NewNop())
 	return fx
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -21,6 +21,7 @@
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
+	"jackdawcart.org/core/sharer"
 	"jackdawcart.org/core/supervisor"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/core/tracer"
@@ -63,6 +64,7 @@
 	follower  *follower.Follower
 	announcer *announcer.Announcer
 	placer    *placer.Placer
+	shares    *sharer.Group
 	// peerClient and peerServer share observations of targets with the other entry
 	// VMs of the failure domain.
 	peerClient    *informer.Client
@@ -111,6 +113,7 @@
 	}
 	e.log = logger.NewTo(e.logLines, own.LogLevel, process, platform.VM)
 	e.placer = placer.New(placer.DefaultConfig(), e.platform.VM, e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	e.shares = sharer.NewGroup(sharer.DefaultConfig())
 	e.assembleFollowing()
 	e.assembleServing()
 	e.log.Info("start", zap.String("version", version), zap.String("domain", platform.Domain),
@@ -130,8 +133,8 @@
 	}
 	e.delegator = delegator.New(self, dial, e.timers)
 	peerConfig := informer.DefaultConfig()
-	e.peerClient = informer.NewClient(peerConfig, self, dial, e.store, e.placer, e.inspector, e.timers, e.countExchange, e.log)
-	e.peerServer = informer.NewServer(peerConfig, e.link, e.store, e.placer, e.inspector, e.timers, e.log)
+	e.peerClient = informer.NewClient(peerConfig, self, dial, e.store, e.placer, e.shares, e.inspector, e.timers, e.countExchange, e.log)
+	e.peerServer = informer.NewServer(peerConfig, e.link, e.store, e.placer, e.shares, e.inspector, e.timers, e.log)
 	e.follower = follower.New(config, e.store, e.link, peers{e.peerClient, e.peerServer}, e.state, e.timers, e.log,
 		follower.Listeners{
 			Table: e.onTable, Target: e.onTarget, EntryVMs: e.onEntryVMs, Evacuated: e.onEvacuated,
@@ -175,7 +178,7 @@
 	config.Query.CallerTime = e.own.CallerTime
 	e.responder = responder.New(config, responder.Dependencies{
 		Domain: e.platform.Domain, Regions: e.platform.Regions, Directory: e.state, Placer: e.placer, Pools: e.pools, Timers: e.timers, Spans: e.spans,
-		Inspector: e.inspector, Detector: diverter.NewDetector(), Delegator: e.delegator, OnVacated: e.follower.Vacate,
+		Inspector: e.inspector, Detector: diverter.NewDetector(), Delegator: e.delegator, Shares: e.shares, OnVacated: e.follower.Vacate,
 	}, e.metrics.Scope, e.log)
 	e.ready = &readiness{state: e.state}
 }
