Idle timeouts of connections follow the use of a target

Cause of the connections reset by targets at their limit (142 entry VMs, 121 connections for each target): with 0.38 connections for each VM, a VM keeps one replica of a shard and holds connections to the others for 2.2 s whatever their use, so at 0.5 to 1 requests a second most VMs hold one. Besides, until a VM had counted the others (all of them at a restart), it kept connections to all replicas until the target closed them, and options that changed did not reach connections that were already idle.

Change: the idle timeout of a connection that is not kept is such that each VM has it open for its share of the time, by its own rate of use. While the number of VMs is assumed or still grows after a start, only local targets are kept. A pool applies changed options to its idle connections.

--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -57,8 +57,9 @@
 	UnkeptPenalty float64
 	// FullIdleTimeout is the idle timeout of a connection that is not kept,
 	// if the target has one spare connection for each VM that keeps none to
-	// it. The timeout scales with the spare connections per such VM. Each VM
-	// sends a hedge to a target about every ten seconds.
+	// it. With more, the timeout scales with the spare connections per such VM;
+	// with fewer, it is the upper bound. Each VM sends a hedge to a target about
+	// every ten seconds.
 	FullIdleTimeout time.Duration
 	// MinIdleTimeout is the lower bound of the idle timeout, used if the target
 	// has no spare connections. It covers the next requests of a burst.
@@ -68,6 +69,10 @@
 	// connections of the previous process until their own idle timeout closes
 	// them.
 	StartupPeriod time.Duration
+	// CountPeriod is the time without a change after which the number of entry VMs counts
+	// as known during the startup period. VMs that start together are announced within
+	// about two seconds.
+	CountPeriod time.Duration
 }
 
 // DefaultConfig returns the parameters used in production.
@@ -105,6 +110,7 @@
 		FullIdleTimeout:  8 * time.Second,
 		MinIdleTimeout:   300 * time.Millisecond,
 		StartupPeriod:    10 * time.Second,
+		CountPeriod:      2 * time.Second,
 	}
 }
 
@@ -124,6 +130,8 @@
 	RepeatWindow time.Duration
 	// EntryVMs is the number of entry VMs that share the bounds.
 	EntryVMs int
+	// Uncounted is true while EntryVMs is an assumption.
+	Uncounted bool
 	// VMsByDomain is the number of entry VMs in each failure domain; nil if unknown.
 	VMsByDomain map[string]int
 	// Domains is the number of failure domains.
--- a/core/placer/connections.go
+++ b/core/placer/connections.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -44,7 +45,8 @@
 }
 
 // selectKept chooses the targets that the VM keeps connections to: all of
-// them while each target has room for all VMs. Otherwise each VM keeps as
+// them while each target has room for all VMs, only the local ones while the number of
+// VMs is not known. Otherwise each VM keeps as
 // many as fit on average, local ones first and then by rendezvous hashing, so
 // that each target is chosen by about the same number of VMs.
 func (p *Placer) selectKept(targets []registrar.Record, maxConnections int) keptTargets {
@@ -53,7 +55,10 @@
 		local[i] = t.Domain == p.domain
 	}
 	perVM := p.config.KeptShare * float64(maxConnections) / float64(p.limits.EntryVMs)
-	if perVM >= 1 {
+	switch {
+	case perVM >= 1 && p.count.uncertain:
+		return keptTargets{local: local, chosen: local}
+	case perVM >= 1:
 		return keptTargets{local: local}
 	}
 	chosen := make([]bool, len(targets))
@@ -96,13 +101,16 @@
 
 // idleTimeout returns how long an idle connection to a target stays open; 0
 // means until the target closes it. For a target that is not kept, the
-// timeout grows with the number of spare connections for each VM that does not
-// keep the target, after reserving two for each VM that does.
-func (p *Placer) idleTimeout(now time.Time, k keptTargets, i, maxConnections int) time.Duration {
+// timeout follows from the number of spare connections for each VM that does not
+// keep the target, after reserving two for each VM that does. With fewer than one per VM,
+// each VM has a connection open for that share of the time. At the same timeout for all
+// rates, 142 VMs that use the other targets of a shard every two seconds would hold 107 of
+// 121 connections.
+func (p *Placer) idleTimeout(now time.Time, k keptTargets, i, maxConnections int, t *target) time.Duration {
 	if k.chosen == nil || k.chosen[i] {
 		return 0
 	}
-	if now.Sub(p.firstPlacedAt) < p.config.StartupPeriod {
+	if now.Sub(p.firstPlacedAt) < p.config.StartupPeriod || p.count.uncertain {
 		return p.config.MinIdleTimeout
 	}
 	count := 0
@@ -114,7 +122,56 @@
 	entryVMs := float64(p.limits.EntryVMs)
 	keeping := entryVMs * float64(count) / float64(len(k.chosen))
 	share := (float64(maxConnections) - 2*keeping) / (entryVMs - keeping)
-	return max(time.Duration(share*float64(p.config.FullIdleTimeout)), p.config.MinIdleTimeout)
+	switch {
+	case share <= 0:
+		return p.config.MinIdleTimeout
+	case share >= 1:
+		return time.Duration(share * float64(p.config.FullIdleTimeout))
+	}
+	// Requests come independently of each other, so the gap between two of them exceeds
+	// a time with a probability that falls exponentially.
+	timeout := time.Duration(-math.Log(1-share) / t.use.perSecond(now) * float64(time.Second))
+	return min(max(timeout, p.config.MinIdleTimeout), p.config.FullIdleTimeout)
+}
+
+// vmCount tells how certain the number of entry VMs is.
+type vmCount struct {
+	// last is the number at the last sub-request, and since the time of its last change.
+	last      int
+	since     time.Time
+	uncertain bool
+}
+
+// updateCount records whether the number of entry VMs is an assumption or, as when all of
+// them start, still grows. The few VMs known then would keep more than their share.
+func (p *Placer) updateCount(now time.Time) {
+	c := &p.count
+	if n := p.limits.EntryVMs; n != c.last {
+		c.last, c.since = n, now
+	}
+	starting := now.Sub(p.firstPlacedAt) < p.config.StartupPeriod
+	c.uncertain = p.limits.Uncounted || starting && now.Sub(c.since) < p.config.CountPeriod
+}
+
+// use is the rate at which this process sends requests to a target.
+type use struct {
+	// recent is a count in which a request weighs less the older it is.
+	recent  float64
+	countAt time.Time
+}
+
+// usePeriod is the time constant of a rate of use. It covers several requests to a target
+// that gets one every few seconds.
+const usePeriod = 10 * time.Second
+
+func (u *use) add(now time.Time) {
+	u.recent = u.recent*math.Exp(-now.Sub(u.countAt).Seconds()/usePeriod.Seconds()) + 1
+	u.countAt = now
+}
+
+// perSecond returns the rate after at least one request.
+func (u *use) perSecond(now time.Time) float64 {
+	return u.recent * math.Exp(-now.Sub(u.countAt).Seconds()/usePeriod.Seconds()) / usePeriod.Seconds()
 }
 
 // rendezvousWeight returns the rank of a target for a VM.
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -85,6 +85,7 @@
 	leaving leaving
 	// firstPlacedAt is the time of the first sub-request.
 	firstPlacedAt time.Time
+	count         vmCount
 	// unreported lists the targets with evidence that TakeEvidence has not
 	// returned.
 	unreported []*target
@@ -125,6 +126,7 @@
 	unreachable bool
 	pace        pacer.State
 	pause       pause
+	use         use
 	// pendingEvidence is what TakeEvidence has not returned yet; nil if there
 	// is none.
 	pendingEvidence *Evidence
@@ -181,6 +183,7 @@
 	s := p.service(now, r.Service)
 	s.budget.advance(now)
 	p.setShares(r.Targets)
+	p.updateCount(now)
 	kept := p.selectKept(r.Targets, r.MaxConnections)
 	i, ok := p.choose(now, s, r, kept)
 	if !ok {
@@ -200,7 +203,8 @@
 	t.inFlight++
 	t.pace.Take(p.config.Pacer, now)
 	loadFactor := s.selectorState.Started(now, p.candidate(record, kept, i), "")
-	idleTimeout := p.idleTimeout(now, kept, i, r.MaxConnections)
+	t.use.add(now)
+	idleTimeout := p.idleTimeout(now, kept, i, r.MaxConnections, t)
 	return Placement{Record: record, Started: now, IdleTimeout: idleTimeout, loadFactor: loadFactor, probeUntil: t.pause.begin(now), target: t}, Placed
 }
 
--- a/entry/courier/connection.go
+++ b/entry/courier/connection.go
@@ -39,10 +39,13 @@
 	// The fields below are guarded by the pool's mutex.
 	exchange      *Exchange
 	reusableUntil time.Time
-	usedAt        time.Time
-	openedAt      time.Time
-	used          bool
-	dropped       bool
+	// idleUntil is the time at which the connection is closed if it stays idle, the zero
+	// time for never.
+	idleUntil time.Time
+	usedAt    time.Time
+	openedAt  time.Time
+	used      bool
+	dropped   bool
 }
 
 func newConnection(p *Pool, raw net.Conn) *connection {
@@ -56,6 +59,12 @@
 	_ = c.raw.SetReadDeadline(t)
 }
 
+// setIdleUntil sets the time at which the connection, which is idle, is closed.
+func (c *connection) setIdleUntil(t time.Time) {
+	c.idleUntil = t
+	c.setReadDeadline(t)
+}
+
 // write sends the request of the exchange. A request of which no byte could be
 // written did not reach the target. The head is built here because a request that
 // was queued for a connection has less time left than when it was queued.
--- a/entry/courier/pool.go
+++ b/entry/courier/pool.go
@@ -57,8 +57,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	options.MaxOpen = max(options.MaxOpen, 1)
+	if options == p.options {
+		return
+	}
 	p.options = options
 	p.keepConnected = p.keepConnected && options.IdleTimeout == 0
+	p.trimIdle()
+}
+
+// trimIdle applies options that have changed to the idle connections: it drops those
+// beyond MaxOpen, the ones unused for longest first, and applies a shorter IdleTimeout.
+// Until a process knows the number of entry VMs it may have opened more.
+func (p *Pool) trimIdle() {
+	for len(p.idle) > 0 && p.total > p.options.MaxOpen {
+		p.drop(p.idle[0])
+	}
+	if p.options.IdleTimeout == 0 {
+		return
+	}
+	end := p.idleDeadline(time.Now())
+	for _, c := range p.idle {
+		if c.idleUntil.IsZero() || end.Before(c.idleUntil) {
+			c.setIdleUntil(end)
+		}
+	}
 }
 
 // Send sends a request on an idle connection, or queues it until one is free. done
@@ -261,7 +283,7 @@
 		return nil
 	}
 	if len(p.queue) == 0 {
-		c.setReadDeadline(p.idleDeadline(now))
+		c.setIdleUntil(p.idleDeadline(now))
 		p.idle = append(p.idle, c)
 		return nil
 	}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -165,7 +165,7 @@
 }
 
 func (e *entry) assembleServing() {
-	e.bounds.EntryVMs, e.bounds.Domains = assumedEntryVMs, e.platform.Domains
+	e.bounds.EntryVMs, e.bounds.Uncounted, e.bounds.Domains = assumedEntryVMs, true, e.platform.Domains
 	e.setBounds(e.platform)
 	e.pools = courier.New(dial, courier.Hooks{
 		Count:        func(event string) { e.metrics.Scope.Counter("connections_" + event).Inc(1) },
@@ -188,7 +188,7 @@
 	e.delegator.SetMembers(members)
 	e.boundsMu.Lock()
 	defer e.boundsMu.Unlock()
-	e.bounds.EntryVMs = len(members)
+	e.bounds.EntryVMs, e.bounds.Uncounted = len(members), false
 	e.bounds.VMsByDomain = make(map[string]int)
 	for _, m := range members {
 		e.bounds.VMsByDomain[m.Domain]++
