Quotas: messages between VMs, and 429 for requests beyond a quota

Without workspaces, a rate or the three bounds in the platform's settings nothing changes.

The quota address travels in the announcement of a VM; VMs without one take no part. quota-port has offset 0, which was free, so that no port range has to grow.

--- a/core/granter/contact.go
+++ b/core/granter/contact.go
@@ -34,15 +34,22 @@
 }
 
 // contact holds, for each domain, when other VMs in it were heard.
-type contact map[string]*span
+type contact map[string]*domainContact
 
-func (c contact) heard(now time.Time, domain string) {
-	s, ok := c[domain]
+type domainContact struct {
+	span
+	// vm is the VM that was heard last. It is pinged first, which saves connections.
+	vm string
+}
+
+func (c contact) heard(now time.Time, m Member) {
+	s, ok := c[m.Domain]
 	if !ok {
-		s = &span{}
-		c[domain] = s
+		s = &domainContact{}
+		c[m.Domain] = s
 	}
 	s.observe(now)
+	s.vm = m.Name
 }
 
 // vmSeconds returns the sum over all VMs of the time for which they count as in contact.
--- a/core/granter/grant.go
+++ b/core/granter/grant.go
@@ -16,6 +16,7 @@
 	// asked is the time of the last ask.
 	asked     time.Time
 	workspace Workspace
+	granting  bool
 	// checks are the outcomes of the last checks of a deputy.
 	checks []check
 }
@@ -54,8 +55,11 @@
 	case Claim:
 		n.yield(now, r.From.Name, w.Name)
 		return Answer{Status: Alive}, nil
-	default:
+	case Ping:
 		return Answer{Status: Alive}, nil
+	default:
+		// A kind of a later version.
+		return Answer{Status: NotGranting}, nil
 	}
 }
 
@@ -72,6 +76,41 @@
 	return n.grantAsDeputy(now, r.Workspace, purchase{vm: r.From.Name, wanted: bounded(r.Wanted)})
 }
 
+// RoleChange says that the VM has begun or ceased to grant.
+type RoleChange struct {
+	Workspace string
+	Deputy    bool
+	Granting  bool
+}
+
+// maxChanges bounds the changes that are kept until they are taken.
+const maxChanges = 64
+
+// TakeChanges returns the changes of role since the last call.
+func (n *Node) TakeChanges() []RoleChange {
+	changes := n.changes
+	n.changes = nil
+	return changes
+}
+
+func (n *Node) setGranting(g *grantor, granting bool) {
+	if g.granting == granting {
+		return
+	}
+	g.granting = granting
+	if len(n.changes) < maxChanges {
+		n.changes = append(n.changes, RoleChange{Workspace: g.workspace.Name, Deputy: g.role == deputyRole, Granting: granting})
+	}
+}
+
+// drop removes the state of a keeper or deputy.
+func (n *Node) drop(workspace string) {
+	if g, ok := n.grants[workspace]; ok {
+		n.setGranting(g, false)
+		delete(n.grants, workspace)
+	}
+}
+
 func bounded(n int) int { return min(max(n, 0), maxCredit) }
 
 // yield stops the grants of this VM after the claim of one of higher rank.
@@ -83,7 +122,7 @@
 		clear(n.yields)
 	}
 	n.yields[workspace] = now.Add(yieldTime)
-	delete(n.grants, workspace)
+	n.drop(workspace)
 }
 
 // limit returns the quota of a workspace, by the configuration of this VM if it names one.
@@ -98,6 +137,7 @@
 func (n *Node) grantor(now, since time.Time, w Workspace, r role) *grantor {
 	g, ok := n.grants[w.Name]
 	if !ok || g.role != r {
+		n.drop(w.Name)
 		if len(n.grants) >= maxWorkspaces {
 			clear(n.grants)
 		}
@@ -143,6 +183,7 @@
 	_, named := n.grantsSince(now, func(l *List) bool { return l.Deputy(w.Name, n.self.Domain) == n.self.Name })
 	if !named || !n.mayTakeOver(now, g) {
 		g.bucket = bucket{at: now}
+		n.setGranting(g, false)
 		return Answer{Status: NotGranting}
 	}
 	// What accrued before the deputy took over is the keeper's.
@@ -190,6 +231,7 @@
 	if limit.Rate <= 0 {
 		return Answer{Status: NotGranting}
 	}
+	n.setGranting(g, true)
 	// A bucket that never holds a whole token would admit nothing.
 	capacity := max(n.bounds.capacity(limit)*share, 1)
 	g.bucket.fill(now, accrued, capacity)
--- a/core/granter/node.go
+++ b/core/granter/node.go
@@ -28,6 +28,7 @@
 	firstList time.Time
 	// keeperAsk is the time of the last ask to this VM as a keeper.
 	keeperAsk time.Time
+	changes   []RoleChange
 }
 
 type listSince struct {
@@ -65,7 +66,7 @@
 	for name, g := range n.grants {
 		if n.list().Keeper(name) != n.self && g.role == keeperRole ||
 			n.list().Deputy(name, n.self.Domain) != n.self.Name && g.role == deputyRole {
-			delete(n.grants, name)
+			n.drop(name)
 		}
 	}
 	known := make(map[string]bool, len(members))
@@ -121,7 +122,7 @@
 	if m.Name == n.self.Name || len(n.list().domains[m.Domain]) == 0 {
 		return
 	}
-	n.contact.heard(now, m.Domain)
+	n.contact.heard(now, m)
 }
 
 // reached records an answer of another VM.
@@ -133,7 +134,13 @@
 			}
 		}
 	}
-	if p, ok := n.peers[name]; ok {
+	if p, ok := n.peers[name]; ok && !p.failing.last.IsZero() {
+		for _, g := range n.grants {
+			if g.role == deputyRole && n.list().Keeper(g.workspace.Name).Name == name {
+				g.bucket = bucket{at: now}
+				n.setGranting(g, false)
+			}
+		}
 		p.avoidUntil, p.failing = time.Time{}, span{}
 	}
 }
@@ -172,7 +179,7 @@
 	}
 	for name := range n.grants {
 		if !workspaces.Has(name) {
-			delete(n.grants, name)
+			n.drop(name)
 		}
 	}
 }
@@ -317,8 +324,12 @@
 	}
 }
 
-// GaveUp records that the caller of an admitted request no longer waits for the decision.
-func (n *Node) GaveUp(s *Send, answer Answer) {
+// Unanswered records that another VM did not answer in time.
+func (n *Node) Unanswered(now time.Time, vm string) { n.failed(now, vm) }
+
+// GaveUp records the answer to an ask whose request no longer waits. Its tokens become credit.
+func (n *Node) GaveUp(now time.Time, s *Send, answer Answer) {
+	n.reached(now, s.To)
 	if answer.Status == Granted {
 		n.holder(s.Request.Workspace.Name).addCredit(s.SentAt.Add(creditTime), s.Request.Wanted)
 	}
--- a/core/granter/tick.go
+++ b/core/granter/tick.go
@@ -1,6 +1,9 @@
 package granter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Tick returns the messages that are due. Their answers are passed to Answered or Failed.
 func (n *Node) Tick(now time.Time) []*Send {
@@ -56,21 +59,23 @@
 	return &Send{To: to, Timeout: timeout, SentAt: now, Request: Request{Kind: kind, From: n.self}}
 }
 
-// pings returns a ping to one VM of each domain from which nothing was heard, and to two
-// once the contact is about to end.
+// pings returns a ping to a VM of each domain from which nothing was heard: to the one heard
+// last, and to two others as well once the contact is about to end.
 func (n *Node) pings(now time.Time, sends []*Send) []*Send {
 	for domain, vms := range n.list().domains {
-		count := 1
-		if s, ok := n.contact[domain]; ok {
-			silent := now.Sub(s.last)
-			if silent < pingDelay-tickInterval/2 {
-				continue
-			}
-			if silent >= contactTimeout/2 {
-				count = 2
-			}
+		vms = without(vms, n.self.Name, "")
+		var chosen []string
+		s, known := n.contact[domain]
+		switch {
+		case !known:
+			chosen = n.pick(vms, 1)
+		case now.Sub(s.last) < pingDelay-tickInterval/2:
+		case now.Sub(s.last) < contactTimeout/2 && slices.Contains(vms, s.vm):
+			chosen = []string{s.vm}
+		default:
+			chosen = n.pick(vms, 2)
 		}
-		for _, vm := range n.pick(without(vms, n.self.Name, ""), count) {
+		for _, vm := range chosen {
 			sends = append(sends, n.message(now, Ping, vm, askTimeout))
 		}
 	}
@@ -126,6 +131,7 @@
 	}
 	if status == Alive {
 		g.bucket = bucket{at: now}
+		n.setGranting(g, false)
 	}
 	g.checks = append(g.checks, check{at: now, status: status})
 	if len(g.checks) > maxChecks {
--- a/core/registrar/members.go
+++ b/core/registrar/members.go
@@ -18,6 +18,9 @@
 	// RequestAddress is where the member takes requests of callers that other members
 	// cannot serve, the zero value if it does not.
 	RequestAddress netip.AddrPort
+	// QuotaAddress is where the member takes messages about quotas, the zero value if it
+	// does not.
+	QuotaAddress netip.AddrPort
 }
 
 // MemberSet tracks the processes that announce themselves under leases. A missing
--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -25,6 +25,7 @@
 	Domain         string         `json:"domain"`
 	Address        netip.AddrPort `json:"address"`
 	RequestAddress netip.AddrPort `json:"request-address"`
+	QuotaAddress   netip.AddrPort `json:"quota-address,omitzero"`
 }
 
 // ParseItem returns the entry VM that an item announces, and false for other items.
@@ -38,7 +39,9 @@
 	if err := json.Unmarshal(item.Value, &value); err != nil {
 		return registrar.Member{Name: name}, true
 	}
-	return registrar.Member{Name: name, Domain: value.Domain, Address: value.Address, RequestAddress: value.RequestAddress}, true
+	return registrar.Member{
+		Name: name, Domain: value.Domain, Address: value.Address, RequestAddress: value.RequestAddress, QuotaAddress: value.QuotaAddress,
+	}, true
 }
 
 // Store is the platform's store.
@@ -159,7 +162,9 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(announcement{Domain: a.self.Domain, Address: a.self.Address, RequestAddress: a.self.RequestAddress})
+	value, err := json.Marshal(announcement{
+		Domain: a.self.Domain, Address: a.self.Address, RequestAddress: a.self.RequestAddress, QuotaAddress: a.self.QuotaAddress,
+	})
 	if err != nil {
 		return err
 	}
--- a/entry/configurer/configurer_test.go
+++ b/entry/configurer/configurer_test.go
@@ -48,14 +48,22 @@
 // reported before the process starts.
 func TestPortsFit(t *testing.T) {
 	settings := configurer.Defaults()
-	if err := settings.CheckPorts(7740, 7755); err != nil {
+	if err := settings.CheckPorts(7740, 7755, true); err != nil {
 		t.Fatal(err)
 	}
-	if err := settings.CheckPorts(7740, 7741); err == nil || !strings.Contains(err.Error(), "allowed: at most 1") {
+	if err := settings.CheckPorts(7740, 7741, true); err == nil || !strings.Contains(err.Error(), "allowed: at most 1") {
 		t.Errorf("too few ports: %v", err)
 	}
 	settings.PeerPort = settings.MetricsPort
-	if err := settings.CheckPorts(7740, 7755); err == nil || !strings.Contains(err.Error(), "two different") {
+	if err := settings.CheckPorts(7740, 7755, true); err == nil || !strings.Contains(err.Error(), "two different") {
 		t.Errorf("the same port twice: %v", err)
 	}
+	settings = configurer.Defaults()
+	settings.QuotaPort = settings.PeerPort
+	if err := settings.CheckPorts(7740, 7755, true); err == nil || !strings.Contains(err.Error(), "two different") {
+		t.Errorf("the port of quotas twice: %v", err)
+	}
+	if err := settings.CheckPorts(7740, 7755, false); err != nil {
+		t.Errorf("a port that is not used: %v", err)
+	}
 }
--- a/entry/configurer/settings.go
+++ b/entry/configurer/settings.go
@@ -32,6 +32,8 @@
 	// RequestPort is the offset of the port on which this VM takes requests of callers
 	// that other VMs cannot serve.
 	RequestPort int `json:"request-port"`
+	// QuotaPort is the offset of the port on which other VMs ask for tokens of quotas.
+	QuotaPort int `json:"quota-port"`
 	// TraceEndpoint is the address to which spans are exported; empty disables them.
 	TraceEndpoint string  `json:"trace-endpoint"`
 	TraceShare    float64 `json:"trace-share"`
@@ -49,6 +51,7 @@
 		MetricsPort:  1,
 		PeerPort:     2,
 		RequestPort:  3,
+		QuotaPort:    0,
 		TraceShare:   0.001,
 		StoreTimeout: time.Second,
 		CallerTime:   9 * time.Millisecond,
@@ -98,14 +101,19 @@
 }
 
 // CheckPorts reports equal ports, and ports outside the internal range from first
-// to last.
-func (s Settings) CheckPorts(first, last uint16) error {
+// to last. QuotaPort is used only with quotas.
+func (s Settings) CheckPorts(first, last uint16, quotas bool) error {
 	maxOffset := int(last) - int(first)
 	nameOf := make(map[int]string)
-	for _, port := range []struct {
+	type port struct {
 		name   string
 		offset int
-	}{{"metrics-port", s.MetricsPort}, {"peer-port", s.PeerPort}, {"request-port", s.RequestPort}} {
+	}
+	ports := []port{{"metrics-port", s.MetricsPort}, {"peer-port", s.PeerPort}, {"request-port", s.RequestPort}}
+	if quotas {
+		ports = append(ports, port{"quota-port", s.QuotaPort})
+	}
+	for _, port := range ports {
 		if port.offset > maxOffset {
 			return &Error{Op: "check", Err: fmt.Errorf("%s: %d, allowed: at most %d, because the internal port range is %d to %d",
 				port.name, port.offset, maxOffset, first, last)}
--- a/entry/main.go
+++ b/entry/main.go
@@ -66,5 +66,5 @@
 	if err != nil {
 		return merry.Prepend(err, "settings of the platform")
 	}
-	return merry.Prepend(own.CheckPorts(platform.FirstPort, platform.LastPort), "own settings")
+	return merry.Prepend(own.CheckPorts(platform.FirstPort, platform.LastPort, platform.QuotaWindow > 0), "own settings")
 }
--- a/entry/responder/call.go
+++ b/entry/responder/call.go
@@ -31,6 +31,9 @@
 	caller      caller
 	// rank is the order in which requests are admitted, 0 first.
 	rank int
+	// admittedAt is when the request took a token of the quota of its workspace, zero if it
+	// needed none.
+	admittedAt time.Time
 
 	query       *forwarder.Query
 	requestLine []byte
--- a/entry/responder/delegate.go
+++ b/entry/responder/delegate.go
@@ -86,6 +86,7 @@
 		return true
 	case cutOff:
 		if !r.delegate(w, request, c, delegator.ReasonCutOff) {
+			c.returnToken()
 			r.refuse(w, request, c.arrived, http.StatusServiceUnavailable, delegator.ReasonCutOff, probePeriod)
 		}
 		return true
--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -89,6 +89,8 @@
 	Inspector Inspector
 	Detector  *diverter.Detector
 	Delegator Delegator
+	// Quoter is nil if there are no quotas.
+	Quoter Quoter
 	// OnVacated is called with the ID of a target when another target answers at
 	// its address.
 	OnVacated func(target string)
@@ -209,10 +211,11 @@
 		id: decoder.RequestID(request.Header), deadline: deadline, body: body, fingerprint: fingerprint,
 		caller: caller, rank: table.Rank(route, caller.workspace),
 	}
-	if r.passOnFirst(w, request, c) {
+	if r.refuseOverQuota(w, request, c) || r.passOnFirst(w, request, c) {
 		return
 	}
 	if overload, ok := r.admission.admit(arrived, route, c.rank); !ok {
+		c.returnToken()
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "overload", retryAfterOverload(route.LatencyObjective),
 			overload.fields(c.rank)...)
 		return
@@ -282,6 +285,9 @@
 			return
 		}
 	}
+	if decision == forwarder.NotRun {
+		c.returnToken()
+	}
 	status := c.write(w, decision)
 	now := r.Timers.Now()
 	took := now.Sub(c.arrived)
--- a/entry/runner/reload.go
+++ b/entry/runner/reload.go
@@ -48,7 +48,7 @@
 }
 
 // reload applies the settings that may change while the process runs, which are the
-// limits of the repeat budget. If a file cannot be loaded, the previous settings stay
+// limits of the repeat budget and the bounds of quotas. If a file cannot be loaded, the previous settings stay
 // in force.
 func (e *entry) reload(reason string) {
 	if _, err := configurer.Load(e.files.Own); err != nil {
@@ -61,6 +61,7 @@
 		return
 	}
 	e.setBounds(platform)
+	e.reloadQuotas(platform)
 	e.log.Info("settings reloaded", zap.String("reason", reason),
 		zap.Float64("repeat-ratio", platform.RepeatRatio), zap.Float64("repeat-extra", platform.RepeatExtra))
 }
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -31,6 +31,7 @@
 	"jackdawcart.org/entry/follower"
 	"jackdawcart.org/entry/informer"
 	"jackdawcart.org/entry/inspector"
+	"jackdawcart.org/entry/quoter"
 	"jackdawcart.org/entry/responder"
 	"jackdawcart.org/platform/decoder"
 	"jackdawcart.org/platform/storer"
@@ -65,10 +66,12 @@
 	placer    *placer.Placer
 	// peerClient and peerServer share observations of targets with the other entry
 	// VMs of the failure domain.
-	peerClient    *informer.Client
-	peerServer    *informer.Server
-	inspector     *inspector.Inspector
-	delegator     *delegator.Delegator
+	peerClient *informer.Client
+	peerServer *informer.Server
+	inspector  *inspector.Inspector
+	delegator  *delegator.Delegator
+	// quoter is nil without quotas.
+	quoter        *quoter.Quoter
 	pools         *courier.Pools
 	responder     *responder.Responder
 	ready         *readiness
@@ -98,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := own.CheckPorts(platform.FirstPort, platform.LastPort); err != nil {
+	if err := own.CheckPorts(platform.FirstPort, platform.LastPort, platform.QuotaWindow > 0); err != nil {
 		return nil, err
 	}
 	spans, err := tracer.New(ctx, own.TraceEndpoint, own.TraceShare, process, platform.VM)
@@ -129,6 +132,7 @@
 		Name: e.platform.VM, Domain: e.platform.Domain, Address: e.port(e.own.PeerPort), RequestAddress: e.port(e.own.RequestPort),
 	}
 	e.delegator = delegator.New(self, dial, e.timers)
+	self = e.assembleQuotas(self)
 	peerConfig := informer.DefaultConfig()
 	e.peerClient = informer.NewClient(peerConfig, self, dial, e.store, e.placer, e.inspector, e.timers, e.countExchange, e.log)
 	e.peerServer = informer.NewServer(peerConfig, e.link, e.store, e.placer, e.inspector, e.timers, e.log)
@@ -173,10 +177,14 @@
 	})
 	config := responder.DefaultConfig()
 	config.Query.CallerTime = e.own.CallerTime
-	e.responder = responder.New(config, responder.Dependencies{
+	dependencies := responder.Dependencies{
 		Domain: e.platform.Domain, Regions: e.platform.Regions, Directory: e.state, Placer: e.placer, Pools: e.pools, Timers: e.timers, Spans: e.spans,
 		Inspector: e.inspector, Detector: diverter.NewDetector(), Delegator: e.delegator, OnVacated: e.follower.Vacate,
-	}, e.metrics.Scope, e.log)
+	}
+	if e.quoter != nil {
+		dependencies.Quoter = e.quoter
+	}
+	e.responder = responder.New(config, dependencies, e.metrics.Scope, e.log)
 	e.ready = &readiness{state: e.state}
 }
 
@@ -186,6 +194,9 @@
 func (e *entry) onEntryVMs(members []registrar.Member) {
 	e.peerClient.SetMembers(members)
 	e.delegator.SetMembers(members)
+	if e.quoter != nil {
+		e.quoter.SetMembers(members)
+	}
 	e.boundsMu.Lock()
 	defer e.boundsMu.Unlock()
 	e.bounds.EntryVMs = len(members)
@@ -247,6 +258,9 @@
 }
 
 func (e *entry) onTable(table *router.Table) {
+	if e.quoter != nil {
+		e.quoter.SetWorkspaces(table.Workspaces())
+	}
 	e.sweepState(table)
 	e.preconnect(table)
 }
@@ -322,6 +336,14 @@
 		writing.Wait()
 		return err
 	}
+	if err := e.startQuotas(tasks, &running); err != nil {
+		listener.Close()
+		stop()
+		running.Wait()
+		stopLog()
+		writing.Wait()
+		return err
+	}
 	running.Go(func() { e.peerServer.Serve(tasks, listener) })
 	for _, task := range []func(context.Context){
 		e.follower.Run, e.follower.SweepExpired, e.announcer.Run, e.watchFiles, e.peerServer.Exchange,
@@ -331,6 +353,10 @@
 	}
 	err = e.serveHTTP(ctx)
 	stop()
+	if e.quoter != nil {
+		// Requests of other VMs that it has forwarded end with it.
+		e.quoter.Close()
+	}
 	running.Wait()
 	e.peerClient.Close()
 	e.delegator.Close()
