--- a/entry/responder/responder.go
+++ b/entry/responder/responder.go
@@ -92,6 +92,8 @@
 	Delegator Delegator
 	// Shares divides the room of overloaded targets between workspaces.
 	Shares *sharer.Group
+	// Quoter is nil if there are no quotas.
+	Quoter Quoter
 	// OnVacated is called with the ID of a target when another target answers at
 	// its address.
 	OnVacated func(target string)
@@ -212,10 +214,11 @@
 		id: decoder.RequestID(request.Header), deadline: deadline, body: body, fingerprint: fingerprint,
 		caller: caller, rank: table.Rank(route, caller.workspace),
 	}
-	if r.passOnFirst(w, request, c) {
+	if r.refuseOverQuota(w, request, c) || r.passOnFirst(w, request, c) {
 		return
 	}
 	if overload, ok := c.admit(arrived); !ok {
+		c.returnToken()
 		r.refuse(w, request, arrived, http.StatusServiceUnavailable, "overload", retryAfterOverload(route.LatencyObjective),
 			append(overload.fields(c.rank), c.caller.field())...)
 		return
@@ -285,6 +288,9 @@
 			return
 		}
 	}
+	if decision == forwarder.NotRun {
+		c.returnToken()
+	}
 	status := c.write(w, decision)
 	now := r.Timers.Now()
 	took := now.Sub(c.arrived)
