--- a/core/granter/config.go
+++ b/core/granter/config.go
@@ -83,15 +83,15 @@
 	// returnTime is the validity of a returned token.
 	returnTime = 100 * time.Millisecond
 	// contactDelay is the length of contact from which a domain counts.
-	contactDelay = 2 * time.Second
+	contactDelay = time.Second
 	// contactTimeout is the time without a message after which contact has ended. It is
 	// shorter than takeOverDelay, so that the keeper stops before a deputy starts.
-	contactTimeout = 1500 * time.Millisecond
+	contactTimeout = time.Second
 	// takeOverDelay is how long a deputy must have failed to reach the keeper.
-	takeOverDelay = 2 * time.Second
+	takeOverDelay = 1300 * time.Millisecond
 	// pingDelay is the time without a message after which a keeper pings a domain, and the
 	// interval at which a deputy probes the keeper.
-	pingDelay = 500 * time.Millisecond
+	pingDelay = 350 * time.Millisecond
 	// listDelay is how long the lists must have named a VM as keeper before it grants.
 	listDelay = 3 * time.Second
 	// firstListDelay is how long after its first list a VM does not draw on the reserve: if
@@ -106,7 +106,7 @@
 	// deputyIdle is the time without asks after which a deputy no longer probes.
 	deputyIdle = 10 * time.Second
 	// tickInterval is the interval of Tick while there is work.
-	tickInterval = 250 * time.Millisecond
+	tickInterval = 175 * time.Millisecond
 	// maxRetryAfter bounds the delay that a caller is told.
 	maxRetryAfter = 5 * time.Second
 	// notGrantingRetry is the delay that a caller is told while no VM grants.
--- a/core/granter/node.go
+++ b/core/granter/node.go
@@ -104,6 +104,9 @@
 		}
 	}
 	since := n.lists[0].since.Add(listDelay)
+	if n.lists[0].since.Equal(n.firstList) {
+		since = n.firstList.Add(firstListDelay)
+	}
 	return since, !now.Before(since)
 }
 
