--- a/core/granter/node.go
+++ b/core/granter/node.go
@@ -57,12 +57,12 @@
 
 // SetMembers replaces the list of VMs.
 func (n *Node) SetMembers(now time.Time, members []Member) {
-	n.lists = append(n.lists, listSince{NewList(members), now})
-	n.dropLists(now)
 	n.listSince = now
 	if n.firstList.IsZero() {
-		n.firstList = now
+		n.firstList, n.lists = now, nil
 	}
+	n.lists = append(n.lists, listSince{NewList(members), now})
+	n.dropLists(now)
 	for name, g := range n.grants {
 		if n.list().Keeper(name) != n.self && g.role == keeperRole ||
 			n.list().Deputy(name, n.self.Domain) != n.self.Name && g.role == deputyRole {
