Quotas: callers that return come after new requests

A request with less time than its route has gets a token only if another one is left. Contact counts after 0.6 s, and a VM that starts grants after 0.5 s; TestBoundHoldsUnderFaults holds.

--- a/core/granter/bucket.go
+++ b/core/granter/bucket.go
@@ -23,8 +23,14 @@
 	// wanted is the number of tokens for requests that wait, extra the credit wanted, and
 	// held the credit that the VM still has.
 	wanted, extra, held int
+	returning           bool
 }
 
+// returningTokens is the number of tokens that must be there for a request that was refused
+// before. Under overload tokens go to requests that can still be answered within their latency
+// objective; callers that return would take half of them.
+const returningTokens = 2
+
 // lot is credit that ends at a time.
 type lot struct {
 	until time.Time
@@ -58,7 +64,9 @@
 // grant takes the wanted tokens as far as there are any, and some more as credit while the
 // bucket is nearly full.
 func (b *bucket) grant(now time.Time, p purchase, capacity, maxOutstanding float64) (granted, credit int) {
-	granted = min(p.wanted, int(b.tokens))
+	if granted = min(p.wanted, int(b.tokens)); p.returning && b.tokens < returningTokens {
+		granted = 0
+	}
 	b.tokens -= float64(granted)
 	if granted < p.wanted || p.extra == 0 {
 		return granted, 0
--- a/core/granter/config.go
+++ b/core/granter/config.go
@@ -83,7 +83,7 @@
 	// returnTime is the validity of a returned token.
 	returnTime = 100 * time.Millisecond
 	// contactDelay is the length of contact from which a domain counts.
-	contactDelay = time.Second
+	contactDelay = 600 * time.Millisecond
 	// contactTimeout is the time without a message after which contact has ended. It is
 	// shorter than takeOverDelay, so that the keeper stops before a deputy starts.
 	contactTimeout = time.Second
@@ -96,7 +96,7 @@
 	listDelay = 3 * time.Second
 	// firstListDelay is how long after its first list a VM does not draw on the reserve: if
 	// all VMs start together, the first list has only some of them.
-	firstListDelay = time.Second
+	firstListDelay = 500 * time.Millisecond
 	// claimTime is how long after a change of the list a keeper sends claims.
 	claimTime = time.Minute
 	// yieldTime is how long a VM does not grant after the claim of a VM of higher rank.
--- a/core/granter/fleet_test.go
+++ b/core/granter/fleet_test.go
@@ -242,7 +242,7 @@
 		}
 	}
 	f.on(v, 0, func() {
-		step := v.Take(f.now, f.workspace)
+		step := v.Take(f.now, f.workspace, false)
 		if step.Send != nil {
 			f.perform(v, step.Send, decided)
 			return
--- a/core/granter/grant.go
+++ b/core/granter/grant.go
@@ -32,7 +32,7 @@
 func (n *Node) Handle(now time.Time, r Request) (answer Answer, forward *Send) {
 	n.heard(now, r.From)
 	w := r.Workspace
-	p := purchase{vm: r.From.Name, wanted: bounded(r.Wanted), extra: bounded(r.Extra), held: bounded(r.Held)}
+	p := purchase{vm: r.From.Name, wanted: bounded(r.Wanted), extra: bounded(r.Extra), held: bounded(r.Held), returning: r.Returning}
 	switch r.Kind {
 	case AskKeeper:
 		return n.grantAsKeeper(now, w, p), nil
@@ -43,7 +43,7 @@
 		}
 		if keeper.Name != "" && !now.Before(n.peer(keeper.Name).avoidUntil) {
 			// The keeper would count credit as that of this VM.
-			return Answer{}, n.ask(now, AskKeeper, keeper.Name, askTimeout, w, purchase{wanted: p.wanted})
+			return Answer{}, n.ask(now, AskKeeper, keeper.Name, askTimeout, w, purchase{wanted: p.wanted, returning: p.returning})
 		}
 		return n.grantAsDeputy(now, w, p), nil
 	case Check:
@@ -73,7 +73,7 @@
 	if r.Kind == Check {
 		return Answer{Status: Unreached}
 	}
-	return n.grantAsDeputy(now, r.Workspace, purchase{vm: r.From.Name, wanted: bounded(r.Wanted)})
+	return n.grantAsDeputy(now, r.Workspace, purchase{vm: r.From.Name, wanted: bounded(r.Wanted), returning: r.Returning})
 }
 
 // RoleChange says that the VM has begun or ceased to grant.
--- a/core/granter/message.go
+++ b/core/granter/message.go
@@ -27,6 +27,8 @@
 	// Wanted is the number of tokens for requests that wait, Extra the credit wanted, and
 	// Held the credit that the sender still has.
 	Wanted, Extra, Held int
+	// Returning is set if the request that waits was probably refused before.
+	Returning bool
 	// Target is the VM that a Check is about.
 	Target string
 }
--- a/core/granter/node.go
+++ b/core/granter/node.go
@@ -187,8 +187,9 @@
 	}
 }
 
-// Take decides on a request of a caller of this VM.
-func (n *Node) Take(now time.Time, w Workspace) Step {
+// Take decides on a request of a caller of this VM. returning is set if the request was probably
+// refused before.
+func (n *Node) Take(now time.Time, w Workspace, returning bool) Step {
 	h := n.holder(w.Name)
 	h.countTake(now)
 	if h.takeCredit(now) {
@@ -202,18 +203,18 @@
 	case keeper.Name == "":
 		return n.useReserve(now, w)
 	case keeper.Name == n.self.Name:
-		return n.decide(now, w, n.grantAsKeeper(now, w, purchase{wanted: 1}), SourceKeeper, now, 1)
+		return n.decide(now, w, n.grantAsKeeper(now, w, purchase{wanted: 1, returning: returning}), SourceKeeper, now, 1)
 	case !now.Before(n.peer(keeper.Name).avoidUntil):
-		return Step{Send: n.ask(now, AskKeeper, keeper.Name, askTimeout, w, n.purchase(now, h, 1))}
+		return Step{Send: n.ask(now, AskKeeper, keeper.Name, askTimeout, w, n.purchase(now, h, 1, returning))}
 	default:
-		return n.askDeputy(now, w)
+		return n.askDeputy(now, w, returning)
 	}
 }
 
 // purchase returns what to ask for. Only one ask at a time wants credit, so that it knows how
 // much the VM has.
-func (n *Node) purchase(now time.Time, h *holder, wanted int) purchase {
-	p := purchase{wanted: wanted, held: h.credit(now)}
+func (n *Node) purchase(now time.Time, h *holder, wanted int, returning bool) purchase {
+	p := purchase{wanted: wanted, held: h.credit(now), returning: returning}
 	if !now.Before(h.renewingUntil) {
 		p.extra = max(h.desired()-p.held, 0)
 	}
@@ -226,19 +227,19 @@
 func (n *Node) ask(now time.Time, kind Kind, to string, timeout time.Duration, w Workspace, p purchase) *Send {
 	return &Send{
 		To: to, Timeout: timeout, SentAt: now,
-		Request: Request{Kind: kind, From: n.self, Workspace: w, Wanted: p.wanted, Extra: p.extra, Held: p.held},
+		Request: Request{Kind: kind, From: n.self, Workspace: w, Wanted: p.wanted, Extra: p.extra, Held: p.held, Returning: p.returning},
 	}
 }
 
-func (n *Node) askDeputy(now time.Time, w Workspace) Step {
+func (n *Node) askDeputy(now time.Time, w Workspace, returning bool) Step {
 	deputy := n.list().Deputy(w.Name, n.self.Domain)
 	switch {
 	case deputy == n.self.Name:
-		return n.decide(now, w, n.grantAsDeputy(now, w, purchase{wanted: 1}), SourceDeputy, now, 1)
+		return n.decide(now, w, n.grantAsDeputy(now, w, purchase{wanted: 1, returning: returning}), SourceDeputy, now, 1)
 	case deputy == "" || now.Before(n.peer(deputy).avoidUntil):
 		return n.useReserve(now, w)
 	default:
-		return Step{Send: n.ask(now, AskDeputy, deputy, deputyTimeout, w, n.purchase(now, n.holder(w.Name), 1))}
+		return Step{Send: n.ask(now, AskDeputy, deputy, deputyTimeout, w, n.purchase(now, n.holder(w.Name), 1, returning))}
 	}
 }
 
@@ -252,7 +253,7 @@
 		now.Before(n.peer(keeper.Name).avoidUntil) || now.Before(h.deniedUntil) {
 		return nil
 	}
-	return n.ask(now, AskKeeper, keeper.Name, askTimeout, w, n.purchase(now, h, 0))
+	return n.ask(now, AskKeeper, keeper.Name, askTimeout, w, n.purchase(now, h, 0, false))
 }
 
 // Answered returns the next step after an answer to a Send.
@@ -288,7 +289,7 @@
 			return n.useReserve(now, s.Request.Workspace)
 		}
 		if s.Request.Wanted > 0 {
-			return n.askDeputy(now, s.Request.Workspace)
+			return n.askDeputy(now, s.Request.Workspace, s.Request.Returning)
 		}
 	case AskDeputy:
 		return n.useReserve(now, s.Request.Workspace)
--- a/core/granter/node_test.go
+++ b/core/granter/node_test.go
@@ -26,7 +26,7 @@
 	var used []time.Time
 	for at := 2 * time.Second; at < time.Minute; at += 20 * time.Millisecond {
 		now := epoch.Add(at)
-		step := n.Take(now, w)
+		step := n.Take(now, w, false)
 		for step.Send != nil {
 			step = n.Failed(now, step.Send, false)
 		}
@@ -58,7 +58,7 @@
 	if f.keeper() == v {
 		v = f.vms[1]
 	}
-	step := v.Take(f.now, f.workspace)
+	step := v.Take(f.now, f.workspace, false)
 	if step.Send == nil {
 		t.Fatalf("no ask: %+v", step)
 	}
@@ -66,7 +66,7 @@
 	if step = v.Answered(late, step.Send, granter.Answer{Status: granter.Granted, Credit: 5}); step.Admitted {
 		t.Errorf("admitted by an answer of 3 s ago: %+v", step)
 	}
-	if step = v.Take(late, f.workspace); step.Admitted {
+	if step = v.Take(late, f.workspace, false); step.Admitted {
 		t.Errorf("admitted by credit of 3 s ago: %+v", step)
 	}
 }
--- a/entry/quoter/frame.go
+++ b/entry/quoter/frame.go
@@ -64,6 +64,7 @@
 		Id: id, Kind: quoterpb.Kind(r.Kind), Vm: r.From.Name, Domain: r.From.Domain,
 		Workspace: r.Workspace.Name, Rate: r.Workspace.Rate, Burst: r.Workspace.Burst,
 		Wanted: uint32(r.Wanted), Extra: uint32(r.Extra), Held: uint32(r.Held), Target: r.Target,
+		Returning: r.Returning,
 	}
 }
 
@@ -72,7 +73,7 @@
 		Kind: granter.Kind(m.GetKind()), From: granter.Member{Name: m.GetVm(), Domain: m.GetDomain()},
 		Workspace: granter.Workspace{Name: m.GetWorkspace(), Limit: granter.Limit{Rate: m.GetRate(), Burst: m.GetBurst()}},
 		Wanted:    int(min(m.GetWanted(), maxTokens)), Extra: int(min(m.GetExtra(), maxTokens)), Held: int(min(m.GetHeld(), maxTokens)),
-		Target: m.GetTarget(),
+		Target: m.GetTarget(), Returning: m.GetReturning(),
 	}
 	asks := r.Kind == granter.AskKeeper || r.Kind == granter.AskDeputy || r.Kind == granter.Claim
 	switch {
--- a/entry/quoter/quoter.go
+++ b/entry/quoter/quoter.go
@@ -143,7 +143,7 @@
 
 // Take decides on a request of a workspace, which waits until the given time at most for
 // tokens of another VM.
-func (q *Quoter) Take(ctx context.Context, w *router.Workspace, by time.Time) Verdict {
+func (q *Quoter) Take(ctx context.Context, w *router.Workspace, returning bool, by time.Time) Verdict {
 	if w == nil || w.Rate <= 0 {
 		return Verdict{Admitted: true, Source: string(granter.SourceUnlimited)}
 	}
@@ -154,7 +154,7 @@
 		return Verdict{Admitted: true, Source: string(granter.SourceUnlimited)}
 	}
 	now := q.Now()
-	step := q.node.Take(now, workspace)
+	step := q.node.Take(now, workspace, returning)
 	var renewal *granter.Send
 	if step.Source == granter.SourceCredit {
 		renewal = q.node.Renew(now, workspace)
--- a/entry/quoter/quoter_test.go
+++ b/entry/quoter/quoter_test.go
@@ -92,7 +92,7 @@
 
 func (v *vm) take(t *testing.T) quoter.Verdict {
 	t.Helper()
-	return v.Take(t.Context(), limitedWorkspace, time.Now().Add(time.Second))
+	return v.Take(t.Context(), limitedWorkspace, false, time.Now().Add(time.Second))
 }
 
 // byRole returns the keeper and another VM.
@@ -143,7 +143,7 @@
 func TestWithoutQuota(t *testing.T) {
 	f := newFleet(t, 2)
 	for _, w := range []*router.Workspace{nil, {Name: "free"}} {
-		if verdict := f.vms[0].Take(t.Context(), w, time.Now()); !verdict.Admitted || verdict.Source != "unlimited" {
+		if verdict := f.vms[0].Take(t.Context(), w, false, time.Now()); !verdict.Admitted || verdict.Source != "unlimited" {
 			t.Errorf("%v: %+v", w, verdict)
 		}
 	}
@@ -223,7 +223,7 @@
 	cancel()
 	time.Sleep(1100 * time.Millisecond)
 	began = time.Now()
-	other.Take(cancelled, limitedWorkspace, time.Now().Add(time.Second))
+	other.Take(cancelled, limitedWorkspace, false, time.Now().Add(time.Second))
 	if took := time.Since(began); took > askTime/2 {
 		t.Errorf("a request whose caller has left waited %v", took)
 	}
--- a/entry/responder/quota.go
+++ b/entry/responder/quota.go
@@ -9,12 +9,14 @@
 
 	"jackdawcart.org/core/router"
 	"jackdawcart.org/entry/quoter"
+	"jackdawcart.org/platform/decoder"
 )
 
 // Quoter decides which requests are within the quotas of workspaces.
 type Quoter interface {
-	// Take waits until the given time at most.
-	Take(ctx context.Context, w *router.Workspace, by time.Time) quoter.Verdict
+	// Take waits until the given time at most. returning is set if the request was probably
+	// refused before.
+	Take(ctx context.Context, w *router.Workspace, returning bool, by time.Time) quoter.Verdict
 	// Return gives back the token of an admitted request that has not run.
 	Return(w *router.Workspace)
 }
@@ -29,7 +31,7 @@
 	if r.Quoter == nil || workspace == nil || workspace.Rate <= 0 || c.hop.delegated {
 		return false
 	}
-	verdict := r.Quoter.Take(request.Context(), workspace, c.deadline)
+	verdict := r.Quoter.Take(request.Context(), workspace, isReturning(request, c.route), c.deadline)
 	if verdict.Admitted {
 		c.admittedAt = r.Timers.Now()
 		return false
@@ -39,6 +41,18 @@
 	return true
 }
 
+// returningShare is the share of the route's timeout below which the time left of a request
+// shows that its caller has tried before.
+const returningShare = 0.95
+
+// isReturning reports whether a request was probably refused before: its caller has less time
+// left than a request on the route has at first. Callers whose first requests have less time
+// than others are taken for returning ones, which only matters beyond a quota.
+func isReturning(request *http.Request, route *router.Route) bool {
+	left, ok := decoder.CallerTimeout(request.Header)
+	return ok && left < time.Duration(returningShare*float64(route.Timeout))
+}
+
 // returnToken gives back the token of a request that has not run and will not. A token that
 // was taken long ago is not returned.
 func (c *call) returnToken() {
--- a/entry/responder/quota_test.go
+++ b/entry/responder/quota_test.go
@@ -20,7 +20,7 @@
 	returned []string
 }
 
-func (q *fakeQuoter) Take(_ context.Context, w *router.Workspace, _ time.Time) quoter.Verdict {
+func (q *fakeQuoter) Take(_ context.Context, w *router.Workspace, _ bool, _ time.Time) quoter.Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.taken = append(q.taken, w.Name)
