--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -29,6 +29,11 @@
 	// HedgeDelayShare bounds the hedge delay to a share of the route's latency
 	// objective, so that the hedge can still be answered in time.
 	HedgeDelayShare float64
+	// MinHedgeShare is the share of the route's latency objective before which no
+	// hedge is sent; 0 means no bound. Routes share the budget of a service: a
+	// request with 120 ms left needs no hedge after 10 ms, and one with 40 ms finds
+	// no budget then.
+	MinHedgeShare float64
 	// BudgetShare is the part of the allowed repeat ratio that is used. The
 	// rest covers the difference between the windows of this process and
 	// those in which the ratio is checked from outside.
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -256,23 +256,6 @@
 	return c
 }
 
-// HedgeAt returns when a hedge of the sub-request is due if no answer has
-// arrived: after the hedge delay of its route, or once its target counts as
-// silent.
-func (p *Placer) HedgeAt(route string, latencyObjective time.Duration, placed Placement) time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delay := p.route(route, latencyObjective).hedgerState.Delay()
-	if bound := time.Duration(p.config.HedgeDelayShare * float64(latencyObjective)); delay > bound {
-		delay = bound
-	}
-	at := placed.Started.Add(delay)
-	if silent := p.silentAt(placed.target); placed.target.meanLatency > 0 && silent.Before(at) {
-		at = silent
-	}
-	return at
-}
-
 // Ended updates the statistics with the result of a sub-request.
 func (p *Placer) Ended(now time.Time, route string, latencyObjective time.Duration, placed Placement, result Result) {
 	p.mu.Lock()
--- a/entry/configurer/settings.go
+++ b/entry/configurer/settings.go
@@ -40,6 +40,9 @@
 	// CallerTime is the part of a route's latency objective that is reserved for the
 	// network path to the caller.
 	CallerTime time.Duration `json:"caller-time"`
+	// MinHedgeShare is the share of a route's latency objective before which no hedge is
+	// sent; 0 means no bound.
+	MinHedgeShare float64 `json:"min-hedge-share"`
 }
 
 // Defaults returns the settings that apply where the file gives no value.
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -110,7 +110,9 @@
 		logLines: logger.NewBounded(), metrics: meter.New(process, platform.VM), timers: timer.NewService(),
 	}
 	e.log = logger.NewTo(e.logLines, own.LogLevel, process, platform.VM)
-	e.placer = placer.New(placer.DefaultConfig(), e.platform.VM, e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	placement := placer.DefaultConfig()
+	placement.MinHedgeShare = e.own.MinHedgeShare
+	e.placer = placer.New(placement, e.platform.VM, e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.assembleFollowing()
 	e.assembleServing()
 	e.log.Info("start", zap.String("version", version), zap.String("domain", platform.Domain),
