Bound on what all VMs send to a cold target

Cause: nothing kept the VMs from sending a cold target as much as any other once its replicas failed; the selector only preferred the others.

Change: optional settings bounds.coldOverage and bounds.coldSlack. While a target is cold by its registration, or by Cold-Ms of the answer to a health check, each VM sends its share of coldPerS x overage + slack in slots (pacer.Slots), nothing while the number of VMs is uncertain. No bound without the setting or with coldPerS 0.

--- a/core/forwarder/query.go
+++ b/core/forwarder/query.go
@@ -239,6 +239,7 @@
 		Service:        s.service,
 		Targets:        q.directory.Targets(s.service),
 		MaxConnections: service.MaxConnections,
+		ColdRate:       service.ColdRate,
 		Avoid:          s.tried,
 		Repeat:         len(s.attempts) > 0,
 		Hedge:          s.inFlight() > 0,
--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -19,6 +19,8 @@
 	Hedger hedger.Config
 	// Pacer configures the pace towards targets that have named a limit.
 	Pacer pacer.Config
+	// Slots configures the requests to cold targets.
+	Slots pacer.SlotConfig
 	// SilentFactor is the multiple of a target's mean latency after which the
 	// target, if it has sent no answer, counts as silent.
 	SilentFactor float64
@@ -102,6 +104,7 @@
 		Selector:         selection,
 		Hedger:           hedging,
 		Pacer:            pacer.DefaultConfig(),
+		Slots:            pacer.DefaultSlotConfig(),
 		SilentFactor:     2.5,
 		MinSilence:       8 * time.Millisecond,
 		HedgeDelayShare:  0.3,
@@ -133,6 +136,10 @@
 	RepeatExtra float64
 	// RepeatWindow is the length of the window in which repeats are counted.
 	RepeatWindow time.Duration
+	// ColdOverage and ColdSlack bound the requests that all VMs together send to a
+	// cold target in each second: the rate of its service times the overage, and the
+	// slack. Overage 0 means no limit.
+	ColdOverage, ColdSlack float64
 	// EntryVMs is the number of entry VMs that share the bounds.
 	EntryVMs int
 	// Uncounted is true while EntryVMs is an assumption.
--- a/core/placer/limit.go
+++ b/core/placer/limit.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"jackdawcart.org/core/pacer"
@@ -38,19 +37,10 @@
 	if len(p.limited) == 0 {
 		return
 	}
-	hasReplica := func(domain string) bool {
-		return slices.ContainsFunc(targets, func(r registrar.Record) bool { return r.Domain == domain })
-	}
 	for _, record := range targets {
-		if !p.limited.Has(record.ID) {
-			continue
-		}
-		t := p.target(record.ID)
-		if len(p.limits.VMsByDomain) == 0 {
-			t.pace.SetShare(1 / float64(p.limits.EntryVMs))
-			continue
+		if p.limited.Has(record.ID) {
+			p.target(record.ID).pace.SetShare(p.share(targets, record))
 		}
-		t.pace.SetShare(pacer.Share(p.config.Pacer, p.domain, record.Domain, p.limits.VMsByDomain, hasReplica))
 	}
 }
 
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -127,6 +127,8 @@
 	pace        pacer.State
 	pause       pause
 	use         use
+	coldUntil   time.Time
+	coldSlots   pacer.Slots
 	// pendingEvidence is what TakeEvidence has not returned yet; nil if there
 	// is none.
 	pendingEvidence *Evidence
@@ -159,6 +161,9 @@
 	// MaxConnections is the number of connections to a target that the
 	// service allows across all callers.
 	MaxConnections int
+	// ColdRate is the number of requests a second that all VMs together may send
+	// to a cold target of the service; 0 means no limit.
+	ColdRate float64
 	// Avoid holds the IDs of the targets already tried.
 	Avoid []string
 	// Repeat is true if the request was sent to a target of the service
@@ -185,9 +190,10 @@
 	p.setShares(r.Targets)
 	p.updateCount(now)
 	kept := p.selectKept(r.Targets, r.MaxConnections)
-	i, ok := p.choose(now, s, r, kept)
+	closed := p.closedWhileCold(now, r)
+	i, ok := p.choose(now, s, r, kept, closed)
 	if !ok {
-		return Placement{}, p.missingTarget(now, r)
+		return Placement{}, p.missingTarget(now, r, closed)
 	}
 	if !r.Repeat {
 		s.budget.addFirst()
@@ -202,20 +208,21 @@
 	}
 	t.inFlight++
 	t.pace.Take(p.config.Pacer, now)
+	p.takeColdSlot(now, r, record)
 	loadFactor := s.selectorState.Started(now, p.candidate(record, kept, i), "")
 	t.use.add(now)
 	idleTimeout := p.idleTimeout(now, kept, i, r.MaxConnections, t)
 	return Placement{Record: record, Started: now, IdleTimeout: idleTimeout, loadFactor: loadFactor, probeUntil: t.pause.begin(now), target: t}, Placed
 }
 
-func (p *Placer) choose(now time.Time, s *service, r Request, kept keptTargets) (int, bool) {
+func (p *Placer) choose(now time.Time, s *service, r Request, kept keptTargets, closed container.Set[string]) (int, bool) {
 	candidates := make([]selector.Candidate, len(r.Targets))
 	for i, record := range r.Targets {
 		candidates[i] = p.candidate(record, kept, i)
 	}
 	leaves := p.leaving.among(r.Targets)
 	excluded := func(id string) bool {
-		return leaves.Has(id) || p.unavailable(id, r) || p.withoutRoom(now, p.target(id), r)
+		return leaves.Has(id) || closed.Has(id) || p.unavailable(id, r) || p.withoutRoom(now, p.target(id), r)
 	}
 	failureRateLimit := p.maxFailureRate(now, r.Targets, excluded)
 	unfit := func(id string) bool {
@@ -237,9 +244,9 @@
 }
 
 // missingTarget returns the reason why no target was chosen.
-func (p *Placer) missingTarget(now time.Time, r Request) Outcome {
+func (p *Placer) missingTarget(now time.Time, r Request, closed container.Set[string]) Outcome {
 	for _, record := range r.Targets {
-		if !p.leaving.has(record.ID, record.Born) && !p.unavailable(record.ID, r) && p.withoutRoom(now, p.target(record.ID), r) {
+		if !p.leaving.has(record.ID, record.Born) && !p.unavailable(record.ID, r) && (closed.Has(record.ID) || p.withoutRoom(now, p.target(record.ID), r)) {
 			return Limited
 		}
 	}
--- a/entry/responder/probe.go
+++ b/entry/responder/probe.go
@@ -55,5 +55,8 @@
 	}, func(got courier.Reply) {
 		r.heard(got)
 		r.observeLeaving(target, got)
+		if got.Answer.ColdFor > 0 && !got.Answer.WrongTarget {
+			r.Placer.ObserveCold(r.Timers.Now(), target.ID, got.Answer.ColdFor)
+		}
 	})
 }
--- a/entry/runner/reload.go
+++ b/entry/runner/reload.go
@@ -48,7 +48,7 @@
 }
 
 // reload applies the settings that may change while the process runs, which are the
-// limits of the repeat budget. If a file cannot be loaded, the previous settings stay
+// limits that all VMs share. If a file cannot be loaded, the previous settings stay
 // in force.
 func (e *entry) reload(reason string) {
 	if _, err := configurer.Load(e.files.Own); err != nil {
@@ -62,5 +62,6 @@
 	}
 	e.setBounds(platform)
 	e.log.Info("settings reloaded", zap.String("reason", reason),
-		zap.Float64("repeat-ratio", platform.RepeatRatio), zap.Float64("repeat-extra", platform.RepeatExtra))
+		zap.Float64("repeat-ratio", platform.RepeatRatio), zap.Float64("repeat-extra", platform.RepeatExtra),
+		zap.Float64("cold-overage", platform.ColdOverage), zap.Float64("cold-slack", platform.ColdSlack))
 }
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -198,12 +198,13 @@
 	e.placer.SetLimits(e.bounds)
 }
 
-// setBounds applies the limits of the repeat budget from the platform settings.
+// setBounds applies the limits that all VMs share from the platform settings.
 func (e *entry) setBounds(platform decoder.Settings) {
 	e.boundsMu.Lock()
 	defer e.boundsMu.Unlock()
 	e.bounds.RepeatRatio, e.bounds.RepeatExtra = platform.RepeatRatio, platform.RepeatExtra
 	e.bounds.RepeatWindow = platform.RepeatWindow
+	e.bounds.ColdOverage, e.bounds.ColdSlack = platform.ColdOverage, platform.ColdSlack
 	e.placer.SetLimits(e.bounds)
 }
 
