--- a/core/placer/config.go
+++ b/core/placer/config.go
@@ -19,6 +19,8 @@
 	Hedger hedger.Config
 	// Pacer configures the pace towards targets that have named a limit.
 	Pacer pacer.Config
+	// Slots configures the requests to cold targets.
+	Slots pacer.SlotConfig
 	// SilentFactor is the multiple of a target's mean latency after which the
 	// target, if it has sent no answer, counts as silent.
 	SilentFactor float64
@@ -29,6 +31,11 @@
 	// HedgeDelayShare bounds the hedge delay to a share of the route's latency
 	// objective, so that the hedge can still be answered in time.
 	HedgeDelayShare float64
+	// MinHedgeShare is the share of the route's latency objective before which no
+	// hedge is sent; 0 means no bound. Routes share the budget of a service: a
+	// request with 120 ms left needs no hedge after 10 ms, and one with 40 ms finds
+	// no budget then.
+	MinHedgeShare float64
 	// BudgetShare is the part of the allowed repeat ratio that is used. The
 	// rest covers the difference between the windows of this process and
 	// those in which the ratio is checked from outside.
@@ -97,6 +104,7 @@
 		Selector:         selection,
 		Hedger:           hedging,
 		Pacer:            pacer.DefaultConfig(),
+		Slots:            pacer.DefaultSlotConfig(),
 		SilentFactor:     2.5,
 		MinSilence:       8 * time.Millisecond,
 		HedgeDelayShare:  0.3,
@@ -128,6 +136,10 @@
 	RepeatExtra float64
 	// RepeatWindow is the length of the window in which repeats are counted.
 	RepeatWindow time.Duration
+	// ColdOverage and ColdSlack bound the requests that all VMs together send to a
+	// cold target in each second: the rate of its service times the overage, and the
+	// slack. Overage 0 means no limit.
+	ColdOverage, ColdSlack float64
 	// EntryVMs is the number of entry VMs that share the bounds.
 	EntryVMs int
 	// Uncounted is true while EntryVMs is an assumption.
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -115,7 +115,9 @@
 		logLines: logger.NewBounded(), metrics: meter.New(process, platform.VM), timers: timer.NewService(),
 	}
 	e.log = logger.NewTo(e.logLines, own.LogLevel, process, platform.VM)
-	e.placer = placer.New(placer.DefaultConfig(), e.platform.VM, e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	placement := placer.DefaultConfig()
+	placement.MinHedgeShare = e.own.MinHedgeShare
+	e.placer = placer.New(placement, e.platform.VM, e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.shares = sharer.NewGroup(sharer.DefaultConfig())
 	e.assembleFollowing()
 	e.assembleServing()
@@ -210,12 +212,13 @@
 	e.placer.SetLimits(e.bounds)
 }
 
-// setBounds applies the limits of the repeat budget from the platform settings.
+// setBounds applies the limits that all VMs share from the platform settings.
 func (e *entry) setBounds(platform decoder.Settings) {
 	e.boundsMu.Lock()
 	defer e.boundsMu.Unlock()
 	e.bounds.RepeatRatio, e.bounds.RepeatExtra = platform.RepeatRatio, platform.RepeatExtra
 	e.bounds.RepeatWindow = platform.RepeatWindow
+	e.bounds.ColdOverage, e.bounds.ColdSlack = platform.ColdOverage, platform.ColdSlack
 	e.placer.SetLimits(e.bounds)
 }
 
