--- a/core/granter/config.go
+++ b/core/granter/config.go
@@ -94,6 +94,8 @@
 	firstListDelay = time.Second
 	// claimTime is how long after a change of the list a keeper sends claims.
 	claimTime = time.Minute
+	// claimInterval is the time between two claims. One may be lost within yieldTime.
+	claimInterval = 900 * time.Millisecond
 	// yieldTime is how long a VM does not grant after the claim of a VM of higher rank.
 	yieldTime = 2 * time.Second
 	// keeperIdle is the time without asks after which a keeper no longer keeps contact.
--- a/core/granter/granter_test.go
+++ b/core/granter/granter_test.go
@@ -219,6 +219,7 @@
 					t.Run(fmt.Sprintf("%s/%s/%d-%s", name, loadName, size, limitName), func(t *testing.T) {
 						t.Parallel()
 						f := newFleet(size, limit, 11)
+						f.addWorkspaces()
 						load(f)
 						f.runFor(15 * time.Second)
 						disrupt(f)
--- a/core/granter/node.go
+++ b/core/granter/node.go
@@ -26,6 +26,7 @@
 	yields    map[string]time.Time
 	listSince time.Time
 	firstList time.Time
+	claimed   time.Time
 	// keeperAsk is the time of the last ask to this VM as a keeper.
 	keeperAsk time.Time
 	changes   []RoleChange
--- a/core/granter/tick.go
+++ b/core/granter/tick.go
@@ -84,9 +84,10 @@
 
 // claims returns the claims to the VMs that may have been keepers before a change of the list.
 func (n *Node) claims(now time.Time, sends []*Send) []*Send {
-	if now.Sub(n.listSince) >= claimTime {
+	if now.Sub(n.listSince) >= claimTime || now.Sub(n.claimed) < claimInterval {
 		return sends
 	}
+	n.claimed = now
 	for name, g := range n.grants {
 		second := n.list().rank(name).second.Name
 		if g.role != keeperRole || second == "" {
--- a/entry/quoter/server.go
+++ b/entry/quoter/server.go
@@ -66,7 +66,7 @@
 		err := conn.read(&m, serverIdle)
 		if err != nil {
 			var network net.Error
-			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.As(err, &network) {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, net.ErrClosed) && !errors.As(err, &network) {
 				q.malformed(conn, err)
 			}
 			return
