Follower: read the whole store by serializable reads

Each start and each lost history cost one call a page. A serializable read costs a tenth, but may be seconds old, and its pages differ in age. The first listing of a process is held until the watch after it is answered, or 0.8 s at most, so that a VM is not ready with what has been replaced. If the history does not reach back to the listing, or the listing is older than the state, the VM reads once more at the full price.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -20,6 +20,8 @@
 // Store is the platform's store.
 type Store interface {
 	List(ctx context.Context, prefix string) (storer.Listing, error)
+	// ListSerializable costs a tenth of List, but the listing may be seconds old.
+	ListSerializable(ctx context.Context, prefix string) (storer.Listing, error)
 	Watch(ctx context.Context, prefix string, after sequencer.Position, wait time.Duration) (storer.Listing, error)
 }
 
@@ -44,6 +46,9 @@
 	// WatchWait is how long a watch waits for a change. Each watch is a call that
 	// is paid for.
 	WatchWait time.Duration
+	// ConfirmWait is how long the first watch after a full read that may be old waits for a
+	// change. The read is applied afterwards.
+	ConfirmWait time.Duration
 	// AnswerMargin is how long after WatchWait the answer of a watch may arrive.
 	AnswerMargin time.Duration
 	// BatchDelay is the pause after changes, so that the next watch returns several
@@ -68,6 +73,9 @@
 	watchAnswerMargin = 500 * time.Millisecond
 	// rereadTime covers the calls that read the missed changes.
 	rereadTime = 300 * time.Millisecond
+	// confirmWait is longer than the slowest answers of a store during trouble, so that a
+	// store that has changes sends them within it.
+	confirmWait = 300 * time.Millisecond
 )
 
 // DefaultConfig returns the production configuration. A change must be in force
@@ -78,6 +86,7 @@
 func DefaultConfig(applyBound, stabilityWindow time.Duration) Config {
 	return Config{
 		WatchWait:    max(stabilityWindow-watchAnswerMargin-rereadTime, watchAnswerMargin),
+		ConfirmWait:  confirmWait,
 		AnswerMargin: watchAnswerMargin,
 		BatchDelay:   time.Duration(batchDelayShare * float64(applyBound)),
 		RetryDelay:   300 * time.Millisecond,
@@ -100,8 +109,13 @@
 	listeners Listeners
 	memberSet *registrar.MemberSet
 	members   []registrar.Member
-	// readAt is the position of the last full read, zero before the first one.
-	readAt sequencer.Position
+	// position is that of the last changes or full read that were applied, zero before the
+	// first one.
+	position sequencer.Position
+	// unconfirmed is a first full read that may be seconds old and is not yet applied.
+	unconfirmed *storer.Listing
+	// consistent makes the next full read one that is not older than the call.
+	consistent bool
 	// evacuated holds the failure domains whose targets get no requests.
 	evacuated container.Set[string]
 }
@@ -132,21 +146,16 @@
 const allKeys = ""
 
 func (f *Follower) replaceAll(listing storer.Listing) {
+	f.position = listing.Position
 	f.applyConfigurations(listing)
 	f.replaceEvacuations(listing.Items)
 	f.replaceTargets(listing)
-	var members []registrar.Member
-	for _, item := range listing.Items {
-		if member, ok := f.member(item); ok {
-			members = append(members, member)
-		}
-	}
-	f.memberSet.Replace(f.timers.Now(), members)
-	f.updateMembers()
+	f.replaceMembers(listing)
 	f.listeners.AllItems(listing.Items)
 }
 
 func (f *Follower) applyChanges(listing storer.Listing) {
+	f.position = listing.Position
 	f.applyConfigurations(listing)
 	f.applyEvacuations(listing.Items)
 	f.applyTargetChanges(listing)
@@ -164,40 +173,21 @@
 	f.listeners.ChangedItems(listing.Items)
 }
 
-// Run keeps the configuration and the registrations current until the context ends:
-// it reads all keys, then follows their changes, and reads all keys again if the
-// store has dropped changes that it needs.
-func (f *Follower) Run(ctx context.Context) {
-	for f.link.WaitUp(ctx) {
-		listing, err := f.store.List(ctx, allKeys)
-		if err != nil {
-			f.recordFailure(ctx, "read", allKeys, err)
-			continue
-		}
-		f.recordSuccess()
-		if f.readAt != (sequencer.Position{}) && listing.Position.Era > f.readAt.Era {
-			f.link.LostData(f.timers.Now())
-		}
-		f.readAt = listing.Position
-		f.replaceAll(listing)
-		f.peers.PublishSnapshot(listing.Position)
-		f.watch(ctx, listing.Position)
-	}
-}
-
 // watch follows the changes after a position until the history is lost. A single
 // watch without an answer is not yet an outage; the next call decides.
-func (f *Follower) watch(ctx context.Context, position sequencer.Position) {
+func (f *Follower) watch(ctx context.Context, from sequencer.Position) {
+	position := from
 	unanswered := 0
 	for ctx.Err() == nil {
 		if listing, ok := f.peers.Watch(ctx, position); ok {
 			f.peers.StopPublishing()
 			unanswered = 0
 			position = listing.Position
-			f.applyChanges(listing)
+			f.applyConfirmed(listing)
 			continue
 		}
 		if up, _ := f.link.State(); !up {
+			f.applyUnconfirmed()
 			f.timers.Sleep(ctx, f.config.RetryDelay)
 			continue
 		}
@@ -208,19 +198,24 @@
 			unanswered = 0
 			f.peers.PublishChanges(position, listing)
 			position = listing.Position
-			f.applyChanges(listing)
+			f.applyConfirmed(listing)
 			if len(listing.Items) > 0 {
 				f.timers.Sleep(ctx, f.batchDelay())
 			}
 		case storer.IsKind(result.err, storer.KindHistoryLost):
 			f.log.Warn("history lost, reading in full", zap.String("prefix", allKeys), zap.Uint64("revision", position.Revision), zap.Error(result.err))
 			f.link.Interrupt()
+			// A full read that was too old to be followed may be so again.
+			f.consistent, f.unconfirmed = position == from, nil
 			return
 		case result.interrupted:
+			f.applyUnconfirmed()
 		case unanswered == 0 && result.timedOut:
+			f.applyUnconfirmed()
 			unanswered++
 			f.log.Warn("watch without an answer", zap.Uint64("revision", position.Revision), zap.Error(result.err))
 		default:
+			f.applyUnconfirmed()
 			f.recordFailure(ctx, "watch", allKeys, result.err)
 		}
 	}
@@ -238,9 +233,13 @@
 func (f *Follower) watchStore(ctx context.Context, position sequencer.Position) (storer.Listing, watchResult) {
 	upCtx, stop := f.link.WhileUp(ctx)
 	defer stop()
-	watchCtx, cancel := context.WithTimeout(upCtx, f.config.WatchWait+f.config.AnswerMargin)
+	wait := f.config.WatchWait
+	if f.unconfirmed != nil {
+		wait = f.config.ConfirmWait
+	}
+	watchCtx, cancel := context.WithTimeout(upCtx, wait+f.config.AnswerMargin)
 	defer cancel()
-	listing, err := f.store.Watch(watchCtx, allKeys, position, f.config.WatchWait)
+	listing, err := f.store.Watch(watchCtx, allKeys, position, wait)
 	f.log.Debug("watch ended", zap.String("prefix", allKeys), zap.Uint64("after", position.Revision),
 		zap.Uint64("revision", listing.Position.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
 	return listing, watchResult{err: err, interrupted: upCtx.Err() != nil, timedOut: watchCtx.Err() != nil}
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -37,6 +37,9 @@
 	loseAnswers bool
 	wake        chan struct{}
 	lists       int
+	// older is what serializable reads return, if set.
+	older             *backup
+	serializableLists int
 	// watches counts the calls of Watch.
 	watches int
 }
@@ -155,6 +158,38 @@
 	return listing, nil
 }
 
+func (s *fakeStore) ListSerializable(ctx context.Context, prefix string) (storer.Listing, error) {
+	s.mu.Lock()
+	older := s.older
+	s.serializableLists++
+	s.lists--
+	s.mu.Unlock()
+	listing, err := s.List(ctx, prefix)
+	if older == nil || err != nil {
+		return listing, err
+	}
+	listing = storer.Listing{Position: sequencer.Position{Era: listing.Position.Era, Revision: older.revision}}
+	for _, item := range older.items {
+		if !item.Gone {
+			listing.Items = append(listing.Items, item)
+		}
+	}
+	return listing, nil
+}
+
+// reads returns how often everything was read.
+func (s *fakeStore) reads() (consistent, serializable int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists, s.serializableLists
+}
+
+func (s *fakeStore) setOlder(b backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.older = &b
+}
+
 func (s *fakeStore) Watch(ctx context.Context, prefix string, position sequencer.Position, wait time.Duration) (storer.Listing, error) {
 	after := position.Revision
 	timeout := time.After(wait)
@@ -259,24 +294,47 @@
 	p.answers, p.revision, p.changes = answers, revision, changes
 }
 
+// applied holds the versions that were put in force, and when, counted from the start.
+type applied struct {
+	mu       sync.Mutex
+	versions []int64
+	after    []time.Duration
+	// evacuated are the numbers of evacuated failure domains.
+	evacuated []int
+}
+
+func (a *applied) list() ([]int64, []time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.versions, a.after
+}
+
 type fixture struct {
-	peers *fakePeers
-	store *fakeStore
-	state *follower.State
-	link  *supervisor.Link
+	applied applied
+	peers   *fakePeers
+	store   *fakeStore
+	state   *follower.State
+	link    *supervisor.Link
 }
 
 // run calls check with a running follower in virtual time.
 func run(t *testing.T, check func(fx *fixture)) {
+	t.Helper()
+	runPrepared(t, func(*fixture) {}, check)
+}
+
+// runPrepared is like run and calls prepare before the follower starts.
+func runPrepared(t *testing.T, prepare, check func(fx *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.NewService()
 		fx := &fixture{peers: &fakePeers{}, store: newFakeStore(), state: follower.NewState(follower.DefaultConfig(3*time.Second, 4*time.Second).GracePeriod)}
 		fx.link = supervisor.NewLink(timers.Now(), 2400*time.Millisecond)
 		fx.store.put(decoder.ConfigurationKey, version(1))
+		prepare(fx)
 		f := follower.New(follower.DefaultConfig(3*time.Second, 4*time.Second), fx.store, fx.link, fx.peers, fx.state, timers, zap.NewNop(),
 			follower.Listeners{
-				Table: func(*router.Table) {}, Target: func(registrar.Event) {}, EntryVMs: func([]registrar.Member) {}, Evacuated: func(container.Set[string]) {},
+				Table: fx.record(timers.Now()), Target: func(registrar.Event) {}, EntryVMs: func([]registrar.Member) {}, Evacuated: fx.recordEvacuated,
 				AllItems: func([]storer.Item) {}, ChangedItems: func([]storer.Item) {},
 			})
 		ctx, stop := context.WithCancel(t.Context())
@@ -292,6 +350,22 @@
 	})
 }
 
+// record returns a listener that records the versions put in force since start.
+func (fx *fixture) record(start time.Time) func(*router.Table) {
+	return func(table *router.Table) {
+		fx.applied.mu.Lock()
+		defer fx.applied.mu.Unlock()
+		fx.applied.versions = append(fx.applied.versions, table.Version)
+		fx.applied.after = append(fx.applied.after, time.Since(start))
+	}
+}
+
+func (fx *fixture) recordEvacuated(domains container.Set[string]) {
+	fx.applied.mu.Lock()
+	defer fx.applied.mu.Unlock()
+	fx.applied.evacuated = append(fx.applied.evacuated, len(domains))
+}
+
 func (fx *fixture) version() int64 { return fx.state.Table().Version }
 
 // A change whose watches are never woken, because the store dropped its history,
--- a/entry/follower/members.go
+++ b/entry/follower/members.go
@@ -21,6 +21,18 @@
 	return member, ok
 }
 
+// replaceMembers replaces the entry VMs by those of a full listing.
+func (f *Follower) replaceMembers(listing storer.Listing) {
+	var members []registrar.Member
+	for _, item := range listing.Items {
+		if member, ok := f.member(item); ok {
+			members = append(members, member)
+		}
+	}
+	f.memberSet.Replace(f.timers.Now(), members)
+	f.updateMembers()
+}
+
 // updateMembers notifies the listener if the set of entry VMs has changed.
 func (f *Follower) updateMembers() {
 	members := f.memberSet.Members(f.timers.Now())
--- /dev/null
+++ b/entry/follower/reader.go
@@ -0,0 +1,99 @@
+package follower
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"jackdawcart.org/core/sequencer"
+	"jackdawcart.org/platform/storer"
+)
+
+// Run keeps the configuration and the registrations current until the context ends:
+// it reads all keys, then follows their changes, and reads all keys again if the
+// store has dropped changes that it needs.
+func (f *Follower) Run(ctx context.Context) {
+	for f.link.WaitUp(ctx) {
+		listing, current, err := f.readAll(ctx)
+		if err != nil {
+			f.recordFailure(ctx, "read", allKeys, err)
+			continue
+		}
+		f.recordSuccess()
+		started := f.position != sequencer.Position{}
+		if started && listing.Position.Era > f.position.Era {
+			f.link.LostData(f.timers.Now())
+		}
+		if current || started {
+			f.replaceAll(listing)
+			f.peers.PublishSnapshot(listing.Position)
+		} else {
+			// The VM would become ready with what may be seconds old.
+			f.unconfirmed = &listing
+			f.replaceMembers(listing)
+		}
+		f.watch(ctx, listing.Position)
+	}
+}
+
+// readAll reads the whole store, and reports whether the listing is as new as the call. It
+// accepts an older one, which costs a tenth, unless the changes after it are lost or the
+// state of this VM is newer.
+func (f *Follower) readAll(ctx context.Context) (listing storer.Listing, current bool, err error) {
+	if !f.consistent {
+		listing, err = f.store.ListSerializable(ctx, allKeys)
+		switch {
+		case err == nil && !f.position.After(listing.Position):
+			return listing, false, nil
+		case err == nil:
+			f.log.Info("full read is older than the state, reading again", zap.Uint64("revision", listing.Position.Revision),
+				zap.Uint64("known", f.position.Revision))
+		case !storer.IsKind(err, storer.KindUnusable):
+			return storer.Listing{}, false, err
+		}
+	}
+	listing, err = f.store.List(ctx, allKeys)
+	if err == nil {
+		f.consistent = false
+	}
+	return listing, true, err
+}
+
+// applyConfirmed applies changes that the store or another VM has sent. The first ones are
+// joined with the full read before them, so that nothing that they replace comes in force.
+func (f *Follower) applyConfirmed(changes storer.Listing) {
+	if f.unconfirmed == nil {
+		f.applyChanges(changes)
+		return
+	}
+	read := *f.unconfirmed
+	f.unconfirmed = nil
+	f.replaceAll(overlay(read, changes))
+}
+
+// applyUnconfirmed applies the first full read if no changes have come in time.
+func (f *Follower) applyUnconfirmed() {
+	if f.unconfirmed != nil {
+		f.applyConfirmed(storer.Listing{Position: f.unconfirmed.Position})
+	}
+}
+
+// overlay returns a full read with the changes after it.
+func overlay(read, changes storer.Listing) storer.Listing {
+	latest := make(map[string]storer.Item, len(changes.Items))
+	for _, item := range changes.Items {
+		latest[item.Key] = item
+	}
+	listing := storer.Listing{Position: changes.Position}
+	for _, item := range read.Items {
+		if _, changed := latest[item.Key]; !changed {
+			listing.Items = append(listing.Items, item)
+		}
+	}
+	for _, item := range latest {
+		if !item.Gone {
+			listing.Items = append(listing.Items, item)
+		}
+	}
+	return listing
+}
