--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"time"
@@ -62,8 +64,10 @@
 	ReaderRenewInterval time.Duration
 	// LeaveTimeout bounds the last call, because the process is about to end.
 	LeaveTimeout time.Duration
-	// ProbeInterval is the pause between calls while the store is unreachable.
-	ProbeInterval time.Duration
+	// ProbeInterval is the pause before the first call while the store is unreachable. Each
+	// further pause is longer by half, up to MaxProbeInterval, or MaxInformedProbeInterval
+	// while another VM informs this one of changes.
+	ProbeInterval, MaxProbeInterval, MaxInformedProbeInterval time.Duration
 }
 
 // leaveShare is the share of the time for a planned stop in which the VM's entry is
@@ -74,13 +78,18 @@
 // long as grace.
 func DefaultConfig(grace time.Duration) Config {
 	return Config{
-		LeaseTTL:      8 * time.Second,
+		// Outlasts a refusal of 9 s with the pause before the last renewal, the longest one
+		// between probes and a call that times out.
+		LeaseTTL:      15 * time.Second,
 		RenewInterval: 2500 * time.Millisecond,
 		// Together with the timeout of a call, this stays below the shortest time in
 		// which a configuration must be in force.
 		ReaderRenewInterval: 600 * time.Millisecond,
 		LeaveTimeout:        time.Duration(leaveShare * float64(grace)),
 		ProbeInterval:       500 * time.Millisecond,
+		MaxProbeInterval:    time.Second,
+		// Leaves most of the stability window to the calls that follow.
+		MaxInformedProbeInterval: 2 * time.Second,
 	}
 }
 
@@ -90,24 +99,28 @@
 	self   registrar.Member
 	// hasClients reports whether other VMs poll this one for changes of the store.
 	hasClients func() bool
-	store      Store
-	link       *supervisor.Link
-	timers     *timer.Service
-	log        *zap.Logger
+	// informed reports whether another VM informs this one of changes of the store.
+	informed func() bool
+	store    Store
+	link     *supervisor.Link
+	timers   *timer.Service
+	log      *zap.Logger
 
 	// lease and revision are those of the VM's entry. The lease is zero while there is none.
 	lease    storer.Lease
 	revision uint64
 	// lastCall is the time of the last renewal or announcement.
 	lastCall time.Time
+	// failures counts the calls that failed since the last answered one.
+	failures int
 }
 
 // New returns the announcer of the VM self. hasClients reports whether other VMs
-// poll this one for changes of the store.
-func New(config Config, self registrar.Member, hasClients func() bool, store Store, link *supervisor.Link, timers *timer.Service,
+// poll this one for changes of the store, informed whether this one polls another VM.
+func New(config Config, self registrar.Member, hasClients, informed func() bool, store Store, link *supervisor.Link, timers *timer.Service,
 	log *zap.Logger,
 ) *Announcer {
-	return &Announcer{config: config, self: self, hasClients: hasClients, store: store, link: link, timers: timers, log: log}
+	return &Announcer{config: config, self: self, hasClients: hasClients, informed: informed, store: store, link: link, timers: timers, log: log}
 }
 
 // Run announces the VM until the context ends, and then removes its entry.
@@ -176,6 +189,7 @@
 func (a *Announcer) recordOutcome(ctx context.Context, err error) time.Duration {
 	switch {
 	case err == nil:
+		a.failures = 0
 		if outage, regained := a.link.Succeeded(a.timers.Now()); regained {
 			a.log.Info("store regained", zap.Duration("outage", outage))
 		}
@@ -186,10 +200,25 @@
 		if a.link.Failed() {
 			a.log.Warn("store lost", zap.String("op", "renew"), zap.Error(err))
 		}
-		return a.config.ProbeInterval
+		return a.probePause()
 	}
 }
 
+// probeGrowth is the ratio of a pause between probes to the one before.
+const probeGrowth = 1.5
+
+// probePause returns the pause after a failed call. It is jittered by a fifth, so that the
+// VMs that the store refuses do not call together.
+func (a *Announcer) probePause() time.Duration {
+	longest := a.config.MaxProbeInterval
+	if a.informed() {
+		longest = a.config.MaxInformedProbeInterval
+	}
+	pause := min(float64(a.config.ProbeInterval)*math.Pow(probeGrowth, float64(a.failures)), float64(longest))
+	a.failures++
+	return time.Duration(pause * (0.8 + 0.2*rand.Float64()))
+}
+
 // leave removes the VM's entry. It does not end the lease, which could be another VM's if
 // the store has been restored meanwhile.
 func (a *Announcer) leave() {
--- a/entry/announcer/announcer_test.go
+++ b/entry/announcer/announcer_test.go
@@ -28,8 +28,12 @@
 	renewals int
 	// hangs makes Remove block until its context ends.
 	hangs bool
+	// down makes Renew fail.
+	down bool
 	// hasClients is set while other VMs poll this one.
 	hasClients atomic.Bool
+	// informed is set while another VM informs this one.
+	informed atomic.Bool
 }
 
 var errNoLease = &storer.Error{Op: "renew", Kind: storer.KindNotFound, Err: errors.New("no such lease")}
@@ -45,6 +49,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.renewals++
+	if s.down {
+		return errors.New("the store refuses")
+	}
 	if lease.ID != s.lease || len(s.keys) == 0 {
 		return errNoLease
 	}
@@ -98,7 +105,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		timers := timer.NewService()
 		link := supervisor.NewLink(timers.Now(), time.Second)
-		a := announcer.New(announcer.DefaultConfig(6*time.Second), registrar.Member{Name: "vm-1"}, store.hasClients.Load,
+		a := announcer.New(announcer.DefaultConfig(6*time.Second), registrar.Member{Name: "vm-1"}, store.hasClients.Load, store.informed.Load,
 			store, link, timers, zap.NewNop())
 		ctx, stop := context.WithCancel(t.Context())
 		var task sync.WaitGroup
@@ -167,7 +174,7 @@
 		store := &fakeStore{keys: make(map[string]uint64), hangs: true}
 		timers := timer.NewService()
 		link := supervisor.NewLink(timers.Now(), time.Second)
-		a := announcer.New(announcer.DefaultConfig(3*time.Second), registrar.Member{Name: "vm-1"}, store.hasClients.Load,
+		a := announcer.New(announcer.DefaultConfig(3*time.Second), registrar.Member{Name: "vm-1"}, store.hasClients.Load, store.informed.Load,
 			store, link, timers, zap.NewNop())
 		ctx, stop := context.WithCancel(t.Context())
 		var task sync.WaitGroup
@@ -182,3 +189,37 @@
 		timers.Close()
 	})
 }
+
+// A store that refuses a VM must get few renewals, and its return must be noticed early in
+// the stability window of 5 s. While no other VM informs this one, it must be noticed sooner.
+func TestRefusedRenewals(t *testing.T) {
+	for _, c := range []struct {
+		informed    bool
+		maxRenewals int
+		maxPause    time.Duration
+	}{{true, 9, 2 * time.Second}, {false, 13, time.Second}} {
+		run(t, func(store *fakeStore, link *supervisor.Link) {
+			store.informed.Store(c.informed)
+			store.setDown(true)
+			_, before := store.snapshot()
+			time.Sleep(9 * time.Second)
+			if _, after := store.snapshot(); after-before > c.maxRenewals {
+				t.Errorf("informed %v: %d renewals in 9 s, want at most %d", c.informed, after-before, c.maxRenewals)
+			}
+			if up, _ := link.State(); up {
+				t.Errorf("informed %v: link is up", c.informed)
+			}
+			store.setDown(false)
+			time.Sleep(c.maxPause + time.Millisecond)
+			if up, _ := link.State(); !up {
+				t.Errorf("informed %v: link is down %v after the return of the store", c.informed, c.maxPause)
+			}
+		})
+	}
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -31,6 +31,14 @@
 	// Watch returns the changes after a position, and false if no other VM serves
 	// them.
 	Watch(ctx context.Context, after sequencer.Position) (storer.Listing, bool)
+	// WatchAny is like Watch and also asks the VMs for which this one usually reads.
+	WatchAny(ctx context.Context, after sequencer.Position) (storer.Listing, bool)
+	// Rank returns the number of VMs that read from the store rather than this one.
+	Rank() int
+	// RecordSnapshot and RecordChanges record what this VM knows, wherever it is from, for VMs
+	// that need everything.
+	RecordSnapshot(listing storer.Listing)
+	RecordChanges(listing storer.Listing)
 	// PublishSnapshot and PublishChanges offer the others what this VM has read.
 	PublishSnapshot(position sequencer.Position)
 	PublishChanges(after sequencer.Position, listing storer.Listing)
@@ -54,6 +62,9 @@
 	// BatchDelay is the pause after changes, so that the next watch returns several
 	// at once. It applies to a VM that is alone in its failure domain.
 	BatchDelay time.Duration
+	// TakeoverDelay is how long a VM without answers of others leaves it to each VM before it
+	// in the order to read from the store, and MaxTakeoverDelay the longest such time.
+	TakeoverDelay, MaxTakeoverDelay time.Duration
 	// RetryDelay is the pause after a failed call.
 	RetryDelay time.Duration
 	// GracePeriod is how long a target is kept whose registration is missing after an
@@ -89,11 +100,16 @@
 		ConfirmWait:  confirmWait,
 		AnswerMargin: watchAnswerMargin,
 		BatchDelay:   time.Duration(batchDelayShare * float64(applyBound)),
-		RetryDelay:   300 * time.Millisecond,
+		// A VM takes over with one call.
+		TakeoverDelay:    60 * time.Millisecond,
+		MaxTakeoverDelay: 400 * time.Millisecond,
+
+		RetryDelay: 300 * time.Millisecond,
 		// Targets register again within two seconds after the store recovers.
 		GracePeriod: 2300 * time.Millisecond,
-		// Twice the time to live of an entry VM's lease.
-		MemberGracePeriod: 16 * time.Second,
+		// With the 15 s of an entry VM's lease, a VM counts for 24 s after its last renewal,
+		// three times the longest refusal.
+		MemberGracePeriod: 9 * time.Second,
 	}
 }
 
@@ -114,6 +130,8 @@
 	position sequencer.Position
 	// unconfirmed is a first full read that may be seconds old and is not yet applied.
 	unconfirmed *storer.Listing
+	// informedAt is when another VM answered last, or when everything was read since.
+	informedAt time.Time
 	// consistent makes the next full read one that is not older than the call.
 	consistent bool
 	// evacuated holds the failure domains whose targets get no requests.
@@ -151,6 +169,7 @@
 	f.replaceEvacuations(listing.Items)
 	f.replaceTargets(listing)
 	f.replaceMembers(listing)
+	f.peers.RecordSnapshot(listing)
 	f.listeners.AllItems(listing.Items)
 }
 
@@ -170,6 +189,7 @@
 		}
 	}
 	f.updateMembers()
+	f.peers.RecordChanges(listing)
 	f.listeners.ChangedItems(listing.Items)
 }
 
@@ -177,20 +197,27 @@
 // watch without an answer is not yet an outage; the next call decides.
 func (f *Follower) watch(ctx context.Context, from sequencer.Position) {
 	position := from
+	f.informedAt = f.timers.Now()
 	unanswered := 0
 	for ctx.Err() == nil {
-		if listing, ok := f.peers.Watch(ctx, position); ok {
+		up, _ := f.link.State()
+		if listing, ok := f.watchPeers(ctx, position, up); ok {
+			f.informedAt = f.timers.Now()
 			f.peers.StopPublishing()
 			unanswered = 0
 			position = listing.Position
 			f.applyConfirmed(listing)
 			continue
 		}
-		if up, _ := f.link.State(); !up {
+		if !up {
 			f.applyUnconfirmed()
 			f.timers.Sleep(ctx, f.config.RetryDelay)
 			continue
 		}
+		if f.timers.Now().Sub(f.informedAt) < f.takeoverDelay() {
+			f.timers.Sleep(ctx, f.config.TakeoverDelay)
+			continue
+		}
 		listing, result := f.watchStore(ctx, position)
 		switch {
 		case result.err == nil:
@@ -221,30 +248,6 @@
 	}
 }
 
-// watchResult describes how a watch of the store ended.
-type watchResult struct {
-	err error
-	// interrupted means that the store was lost or dropped its history meanwhile.
-	interrupted bool
-	// timedOut means that no answer came within its bound.
-	timedOut bool
-}
-
-func (f *Follower) watchStore(ctx context.Context, position sequencer.Position) (storer.Listing, watchResult) {
-	upCtx, stop := f.link.WhileUp(ctx)
-	defer stop()
-	wait := f.config.WatchWait
-	if f.unconfirmed != nil {
-		wait = f.config.ConfirmWait
-	}
-	watchCtx, cancel := context.WithTimeout(upCtx, wait+f.config.AnswerMargin)
-	defer cancel()
-	listing, err := f.store.Watch(watchCtx, allKeys, position, wait)
-	f.log.Debug("watch ended", zap.String("prefix", allKeys), zap.Uint64("after", position.Revision),
-		zap.Uint64("revision", listing.Position.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
-	return listing, watchResult{err: err, interrupted: upCtx.Err() != nil, timedOut: watchCtx.Err() != nil}
-}
-
 func (f *Follower) recordSuccess() {
 	if outage, regained := f.link.Succeeded(f.timers.Now()); regained {
 		f.log.Info("store regained", zap.Duration("outage", outage))
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -276,6 +276,16 @@
 	return listing, p.answers
 }
 
+func (p *fakePeers) WatchAny(ctx context.Context, after sequencer.Position) (storer.Listing, bool) {
+	return p.Watch(ctx, after)
+}
+
+func (p *fakePeers) Rank() int { return 0 }
+
+func (p *fakePeers) RecordSnapshot(storer.Listing) {}
+
+func (p *fakePeers) RecordChanges(storer.Listing) {}
+
 func (p *fakePeers) PublishSnapshot(sequencer.Position) {}
 
 func (p *fakePeers) PublishChanges(sequencer.Position, storer.Listing) { p.setStopped(false) }
--- a/entry/follower/reader.go
+++ b/entry/follower/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -20,11 +21,8 @@
 			continue
 		}
 		f.recordSuccess()
-		started := f.position != sequencer.Position{}
-		if started && listing.Position.Era > f.position.Era {
-			f.link.LostData(f.timers.Now())
-		}
-		if current || started {
+		f.noteEra(listing.Position)
+		if current || f.position != (sequencer.Position{}) {
 			f.replaceAll(listing)
 			f.peers.PublishSnapshot(listing.Position)
 		} else {
@@ -36,6 +34,13 @@
 	}
 }
 
+// noteEra records that the store has lost data if a full read is of a later era.
+func (f *Follower) noteEra(read sequencer.Position) {
+	if f.position != (sequencer.Position{}) && read.Era > f.position.Era {
+		f.link.LostData(f.timers.Now())
+	}
+}
+
 // readAll reads the whole store, and reports whether the listing is as new as the call. It
 // accepts an older one, which costs a tenth, unless the changes after it are lost or the
 // state of this VM is newer.
@@ -62,7 +67,14 @@
 // applyConfirmed applies changes that the store or another VM has sent. The first ones are
 // joined with the full read before them, so that nothing that they replace comes in force.
 func (f *Follower) applyConfirmed(changes storer.Listing) {
-	if f.unconfirmed == nil {
+	switch {
+	case changes.Snapshot:
+		f.unconfirmed = nil
+		f.log.Info("everything read from another VM", zap.Uint64("revision", changes.Position.Revision), zap.Uint64("era", changes.Position.Era))
+		f.noteEra(changes.Position)
+		f.replaceAll(changes)
+		return
+	case f.unconfirmed == nil:
 		f.applyChanges(changes)
 		return
 	}
@@ -97,3 +109,41 @@
 	}
 	return listing
 }
+
+// watchPeers asks the other VMs for changes. While the store is lost, that includes those for
+// which this VM usually reads: they have no other VM to follow, and read themselves.
+func (f *Follower) watchPeers(ctx context.Context, position sequencer.Position, up bool) (storer.Listing, bool) {
+	if up {
+		return f.peers.Watch(ctx, position)
+	}
+	return f.peers.WatchAny(ctx, position)
+}
+
+// takeoverDelay returns how long this VM leaves it to others to read from the store.
+func (f *Follower) takeoverDelay() time.Duration {
+	return min(time.Duration(f.peers.Rank())*f.config.TakeoverDelay, f.config.MaxTakeoverDelay)
+}
+
+// watchResult describes how a watch of the store ended.
+type watchResult struct {
+	err error
+	// interrupted means that the store was lost or dropped its history meanwhile.
+	interrupted bool
+	// timedOut means that no answer came within its bound.
+	timedOut bool
+}
+
+func (f *Follower) watchStore(ctx context.Context, position sequencer.Position) (storer.Listing, watchResult) {
+	upCtx, stop := f.link.WhileUp(ctx)
+	defer stop()
+	wait := f.config.WatchWait
+	if f.unconfirmed != nil {
+		wait = f.config.ConfirmWait
+	}
+	watchCtx, cancel := context.WithTimeout(upCtx, wait+f.config.AnswerMargin)
+	defer cancel()
+	listing, err := f.store.Watch(watchCtx, allKeys, position, wait)
+	f.log.Debug("watch ended", zap.String("prefix", allKeys), zap.Uint64("after", position.Revision),
+		zap.Uint64("revision", listing.Position.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
+	return listing, watchResult{err: err, interrupted: upCtx.Err() != nil, timedOut: watchCtx.Err() != nil}
+}
--- a/entry/informer/client.go
+++ b/entry/informer/client.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,6 +39,11 @@
 
 	mu        sync.Mutex
 	upstreams []registrar.Member
+	// downstreams are polled only while this VM cannot reach the store.
+	downstreams []registrar.Member
+
+	informed atomic.Bool
+	started  time.Time
 
 	// Only Watch uses the fields below.
 
@@ -52,25 +59,49 @@
 ) *Client {
 	return &Client{
 		config: config, self: self, dial: dial, eras: eras, tracker: tracker, reports: reports, timers: timers, count: count, log: log,
-		retryAt: make(map[string]time.Time),
+		retryAt: make(map[string]time.Time), started: timers.Now(),
 	}
 }
 
 // SetMembers replaces the known entry VMs.
 func (c *Client) SetMembers(members []registrar.Member) {
-	upstreams := Upstreams(c.self, members)
+	upstreams, downstreams := Upstreams(c.self, members), downstreams(c.self, members)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upstreams, c.downstreams = upstreams, downstreams
+}
+
+// Rank returns the number of VMs that this VM polls before it reads from the store.
+func (c *Client) Rank() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.upstreams = upstreams
+	return len(c.upstreams)
 }
 
+// Informed reports whether another VM answered the last poll.
+func (c *Client) Informed() bool { return c.informed.Load() }
+
 // Watch waits for changes after a position, and exchanges evidence with the VM
 // that answers. It returns false if no VM answers; this process must then read
-// from the store itself.
+// from the store itself. If a VM no longer has the changes, Watch returns everything in the
+// store.
 func (c *Client) Watch(ctx context.Context, after sequencer.Position) (storer.Listing, bool) {
 	c.mu.Lock()
 	upstreams := c.upstreams
 	c.mu.Unlock()
+	return c.watch(ctx, upstreams, after)
+}
+
+// WatchAny is like Watch, but also polls the VMs that otherwise poll this one. They read from
+// the store while this VM cannot reach it.
+func (c *Client) WatchAny(ctx context.Context, after sequencer.Position) (storer.Listing, bool) {
+	c.mu.Lock()
+	upstreams := slices.Concat(c.upstreams, c.downstreams)
+	c.mu.Unlock()
+	return c.watch(ctx, upstreams, after)
+}
+
+func (c *Client) watch(ctx context.Context, upstreams []registrar.Member, after sequencer.Position) (storer.Listing, bool) {
 	began := c.timers.Now()
 	for i, m := range upstreams {
 		if c.timers.Now().Sub(began) >= c.config.MaxPollTime {
@@ -79,9 +110,14 @@
 		if c.timers.Now().Before(c.retryAt[m.Name]) {
 			continue
 		}
+		outcome := "answered"
 		listing, err := c.poll(ctx, m, after)
+		if isKind(err, KindHistoryLost) {
+			outcome = "snapshot"
+			listing, err = c.fetch(ctx, m, after)
+		}
 		if err == nil {
-			c.count("answered")
+			c.count(outcome)
 			c.setUpstream(m, after)
 			if i == 0 {
 				// The other VMs are not polled while the first one answers.
@@ -100,6 +136,7 @@
 
 // setUpstream records which VM answers; the zero value means none.
 func (c *Client) setUpstream(m registrar.Member, position sequencer.Position) {
+	c.informed.Store(m.Name != "")
 	if m.Name == c.upstream.Name {
 		return
 	}
@@ -118,7 +155,17 @@
 		c.log.Warn("informing VM lost", zap.String("peer", m.Name), zap.Error(err))
 	}
 	c.disconnect()
-	c.retryAt[m.Name] = c.timers.Now().Add(c.config.RetryDelay)
+	c.retryAt[m.Name] = c.timers.Now().Add(c.retryDelay(kind))
+}
+
+// retryDelay returns the pause before a VM is polled again. A VM that says that it does not
+// read costs little, and may do so soon, as may one that starts together with this one.
+func (c *Client) retryDelay(kind Kind) time.Duration {
+	starting := c.timers.Now().Sub(c.started) < c.config.StartTime
+	if kind == KindNotReading || kind == KindUnreachable && starting {
+		return c.config.NotReadingDelay
+	}
+	return c.config.RetryDelay
 }
 
 func (c *Client) disconnect() {
@@ -136,20 +183,13 @@
 	if err := c.connect(ctx, m); err != nil {
 		return storer.Listing{}, &Error{Op: "dial", Kind: KindUnreachable, Err: err}
 	}
-	conn := c.conn
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	// SetDeadline fails only on a closed connection, which the write below reports.
-	_ = conn.SetDeadline(time.Now().Add(c.config.Wait + c.config.AnswerMargin))
 	request := &informerpb.Request{
 		After: after.Revision, Era: after.Era, Wait: durationpb.New(c.config.Wait), Evidence: toEvidence(c.tracker.TakeEvidence()),
 		Reports: toReports(c.reports.Unpublished()),
 	}
-	if err := conn.write(request); err != nil {
-		return storer.Listing{}, &Error{Op: "ask", Kind: KindUnanswered, Err: err}
-	}
-	var answer informerpb.Answer
-	if err := conn.read(&answer); err != nil {
-		return storer.Listing{}, &Error{Op: "ask", Kind: KindUnanswered, Err: err}
+	answer, err := c.exchange(ctx, request)
+	if err != nil {
+		return storer.Listing{}, err
 	}
 	c.eras.ObserveEra(answer.GetEra())
 	c.tracker.MergeEvidence(c.timers.Now(), fromEvidence(answer.GetEvidence()))
--- a/entry/informer/error.go
+++ b/entry/informer/error.go
@@ -1,6 +1,9 @@
 package informer
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Kind classifies an error of this package.
 type Kind string
@@ -35,3 +38,8 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+func isKind(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
--- a/entry/informer/informer.go
+++ b/entry/informer/informer.go
@@ -29,6 +29,9 @@
 	MaxPollTime time.Duration
 	// RetryDelay is the pause before a VM that did not answer is polled again.
 	RetryDelay time.Duration
+	// NotReadingDelay is the same for a VM that answers that it does not read from the store,
+	// and in the first StartTime of this process for one that cannot be reached.
+	NotReadingDelay, StartTime time.Duration
 	// MaxStoreAge is the maximum age of the store's last answer at which a VM still
 	// answers others. It covers the interval between lease renewals of a reading VM
 	// and the timeout of a call.
@@ -42,16 +45,27 @@
 	MaxBatches int
 	// MaxMessageBytes bounds the size of a message.
 	MaxMessageBytes int
+	// MaxContentBytes bounds the copy of the store's content that is kept for VMs that need
+	// all of it. A VM that would exceed it keeps none.
+	MaxContentBytes int
+	// MaxPieceBytes is the size from which a piece of the content takes no further item, and
+	// MaxPieces the number of pieces that are sent at once.
+	MaxPieceBytes, MaxPieces int
 }
 
 // DefaultConfig returns the constants used in production.
 func DefaultConfig() Config {
 	return Config{
-		Wait:          250 * time.Millisecond,
-		AnswerMargin:  300 * time.Millisecond,
-		DialTimeout:   200 * time.Millisecond,
-		MaxPollTime:   400 * time.Millisecond,
-		RetryDelay:    2 * time.Second,
+		Wait:         250 * time.Millisecond,
+		AnswerMargin: 300 * time.Millisecond,
+		DialTimeout:  200 * time.Millisecond,
+		MaxPollTime:  400 * time.Millisecond,
+		RetryDelay:   2 * time.Second,
+		// The next VM takes over within this time.
+		NotReadingDelay: 300 * time.Millisecond,
+		// VMs that restart together are up within this time.
+		StartTime: 3 * time.Second,
+
 		MaxStoreAge:   1700 * time.Millisecond,
 		ClientTimeout: 10 * time.Second,
 		// A reshard registers a few hundred targets at once.
@@ -59,6 +73,11 @@
 		// VMs poll every quarter of a second, so this covers a few rounds of 64 VMs.
 		MaxBatches:      256,
 		MaxMessageBytes: 8 << 20,
+		// Four times the content of the largest deployment, and 3% of the smallest machine.
+		MaxContentBytes: 4 << 20,
+		// A piece is encoded in a copy of its size.
+		MaxPieceBytes: 256 << 10,
+		MaxPieces:     4,
 	}
 }
 
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -45,11 +45,14 @@
 	mu          sync.Mutex
 	reading     bool
 	history     history
+	content     content
 	evidenceLog evidenceLog
 	// lastPoll is the time of the last request of another VM.
 	lastPoll time.Time
 	// changed is closed and replaced to wake the waiting requests.
 	changed chan struct{}
+	// pieces holds an element for each piece of the content that is being sent.
+	pieces chan struct{}
 }
 
 // NewServer returns a server that serves no changes until the first call of
@@ -58,6 +61,7 @@
 	return &Server{
 		config: config, link: link, eras: eras, tracker: tracker, reports: reports, timers: timers, log: log,
 		history: history{max: config.MaxItems}, evidenceLog: evidenceLog{max: config.MaxBatches}, changed: make(chan struct{}),
+		content: content{maxBytes: config.MaxContentBytes}, pieces: make(chan struct{}, config.MaxPieces),
 	}
 }
 
@@ -153,23 +157,33 @@
 		s.mu.Unlock()
 		s.eras.ObserveEra(request.GetEra())
 		s.reports.MergeReports(s.timers.Now(), fromReports(request.GetReports()))
-		answer := s.answer(ctx, &request)
+		answer, sent := s.answer(ctx, &request)
 		answer.Reports, answer.Era = toReports(s.reports.Unpublished()), s.eras.Era()
 		s.mu.Lock()
 		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence()))
 		remote, n := s.evidenceLog.since(next, peer)
 		s.mu.Unlock()
 		next, answer.Evidence = n, toEvidence(remote)
-		if err := conn.write(answer); err != nil {
+		err := conn.write(answer)
+		sent()
+		if err != nil {
 			s.log.Debug("connection to polling VM lost", zap.String("peer", peer), zap.Error(err))
 			return
 		}
 	}
 }
 
-// answer returns the changes after the position of the request, and waits for one
+// answer returns the answer to a request, and what is to be called once it is sent.
+func (s *Server) answer(ctx context.Context, request *informerpb.Request) (answer *informerpb.Answer, sent func()) {
+	if request.GetSnapshot() {
+		return s.answerPiece(ctx, request)
+	}
+	return s.answerChanges(ctx, request), func() {}
+}
+
+// answerChanges returns the changes after the position of the request, and waits for one
 // if there is none.
-func (s *Server) answer(ctx context.Context, request *informerpb.Request) *informerpb.Answer {
+func (s *Server) answerChanges(ctx context.Context, request *informerpb.Request) *informerpb.Answer {
 	wait := s.timers.After(min(request.GetWait().AsDuration(), s.config.Wait))
 	defer wait.Stop()
 	after := sequencer.Position{Era: request.GetEra(), Revision: request.GetAfter()}
--- a/entry/informer/upstreams.go
+++ b/entry/informer/upstreams.go
@@ -24,6 +24,19 @@
 	return upstreams
 }
 
+// downstreams returns the members of the same failure domain that poll self, in order of
+// preference.
+func downstreams(self registrar.Member, members []registrar.Member) []registrar.Member {
+	var list []registrar.Member
+	for _, m := range members {
+		if m.Domain == self.Domain && m.Address.IsValid() && compareRank(m, self) > 0 {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, compareRank)
+	return list
+}
+
 func compareRank(a, b registrar.Member) int {
 	if c := cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)); c != 0 {
 		return c
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -137,7 +137,7 @@
 			Table: e.onTable, Target: e.onTarget, EntryVMs: e.onEntryVMs, Evacuated: e.onEvacuated,
 			AllItems: e.inspector.ReplaceItems, ChangedItems: e.inspector.ApplyItems,
 		})
-	e.announcer = announcer.New(announcer.DefaultConfig(e.platform.ShutdownGrace), self, e.peerServer.HasClients, e.store, e.link, e.timers, e.log)
+	e.announcer = announcer.New(announcer.DefaultConfig(e.platform.ShutdownGrace), self, e.peerServer.HasClients, e.peerClient.Informed, e.store, e.link, e.timers, e.log)
 }
 
 // onStoreRestored records that the store has come back from an older copy.
