--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -158,7 +158,10 @@
 		s.eras.ObserveEra(request.GetEra())
 		s.reports.MergeReports(s.timers.Now(), fromReports(request.GetReports()))
 		answer, sent := s.answer(ctx, &request)
-		answer.Reports, answer.Era = toReports(s.reports.Unpublished()), s.eras.Era()
+		answer.Reports = toReports(s.reports.Unpublished())
+		if !answer.GetSnapshot() {
+			answer.Era = s.eras.Era()
+		}
 		s.mu.Lock()
 		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence()))
 		remote, n := s.evidenceLog.since(next, peer)
--- a/entry/informer/snapshot.go
+++ b/entry/informer/snapshot.go
@@ -59,6 +59,8 @@
 	items, more := s.content.piece(after, s.config.MaxPieceBytes)
 	return &informerpb.Answer{
 		State: informerpb.State_STATE_READING, Revision: s.content.position.Revision, Snapshot: true, HasMore: more, Items: toItems(items),
+		// A later era may become known before the answer is sent; the items do not belong to it.
+		Era: s.content.position.Era,
 	}
 }
 
