Follower: growing pauses after refused reads, neighbours while a full read fails

Cause: a store that answered renewals but refused reads was read after each renewal, and a VM whose history was lost waited for the store before it asked another VM again.

Change: pauses grow from 0.3 s to 1 s, and the other VMs are polled meanwhile, also after a full read that failed.

Result: TestRefusedReads fails with pauses of 0.3 s (more than 10 reads in 9 s), TestReadFailsAfterLostHistory without the polls.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -65,8 +65,9 @@
 	// TakeoverDelay is how long a VM without answers of others leaves it to each VM before it
 	// in the order to read from the store, and MaxTakeoverDelay the longest such time.
 	TakeoverDelay, MaxTakeoverDelay time.Duration
-	// RetryDelay is the pause after a failed call.
-	RetryDelay time.Duration
+	// RetryDelay is the pause after a failed call, and MaxRetryDelay the longest one after
+	// several. A store that answers renewals may refuse all else.
+	RetryDelay, MaxRetryDelay time.Duration
 	// GracePeriod is how long a target is kept whose registration is missing after an
 	// outage of the store.
 	GracePeriod time.Duration
@@ -104,7 +105,8 @@
 		TakeoverDelay:    60 * time.Millisecond,
 		MaxTakeoverDelay: 400 * time.Millisecond,
 
-		RetryDelay: 300 * time.Millisecond,
+		RetryDelay:    300 * time.Millisecond,
+		MaxRetryDelay: time.Second,
 		// Targets register again within two seconds after the store recovers.
 		GracePeriod: 2300 * time.Millisecond,
 		// With the 15 s of an entry VM's lease, a VM counts for 24 s after its last renewal,
@@ -132,6 +134,10 @@
 	unconfirmed *storer.Listing
 	// informedAt is when another VM answered last, or when everything was read since.
 	informedAt time.Time
+	// failures counts the calls that failed since the last answered one, and callAfter is when
+	// the next may be made.
+	failures  int
+	callAfter time.Time
 	// consistent makes the next full read one that is not older than the call.
 	consistent bool
 	// evacuated holds the failure domains whose targets get no requests.
@@ -214,7 +220,7 @@
 			f.timers.Sleep(ctx, f.config.RetryDelay)
 			continue
 		}
-		if f.timers.Now().Sub(f.informedAt) < f.takeoverDelay() {
+		if now := f.timers.Now(); now.Before(f.callAfter) || now.Sub(f.informedAt) < f.takeoverDelay() {
 			f.timers.Sleep(ctx, f.config.TakeoverDelay)
 			continue
 		}
@@ -249,21 +255,12 @@
 }
 
 func (f *Follower) recordSuccess() {
+	f.failures = 0
 	if outage, regained := f.link.Succeeded(f.timers.Now()); regained {
 		f.log.Info("store regained", zap.Duration("outage", outage))
 	}
 }
 
-func (f *Follower) recordFailure(ctx context.Context, op, prefix string, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if f.link.Failed() {
-		f.log.Warn("store lost", zap.String("op", op), zap.String("prefix", prefix), zap.Error(err))
-	}
-	f.timers.Sleep(ctx, f.config.RetryDelay)
-}
-
 // applyConfigurations puts the configurations of a listing in force unless a newer
 // version is.
 func (f *Follower) applyConfigurations(listing storer.Listing) {
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -40,6 +40,8 @@
 	// older is what serializable reads return, if set.
 	older             *backup
 	serializableLists int
+	// refuseLists makes all full reads fail.
+	refuseLists bool
 	// watches counts the calls of Watch.
 	watches int
 }
@@ -146,7 +148,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	if s.down {
+	if s.down || s.refuseLists {
 		return storer.Listing{}, errDown
 	}
 	listing := storer.Listing{Position: s.position()}
@@ -184,6 +186,12 @@
 	return s.lists, s.serializableLists
 }
 
+func (s *fakeStore) setRefuseLists() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuseLists = true
+}
+
 func (s *fakeStore) setOlder(b backup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/follower/reader.go
+++ b/entry/follower/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,9 +16,14 @@
 // store has dropped changes that it needs.
 func (f *Follower) Run(ctx context.Context) {
 	for f.link.WaitUp(ctx) {
+		f.timers.Sleep(ctx, f.callAfter.Sub(f.timers.Now()))
 		listing, current, err := f.readAll(ctx)
 		if err != nil {
 			f.recordFailure(ctx, "read", allKeys, err)
+			if f.position != (sequencer.Position{}) {
+				// Another VM may have what this one has lost.
+				f.watch(ctx, f.position)
+			}
 			continue
 		}
 		f.recordSuccess()
@@ -147,3 +153,20 @@
 		zap.Uint64("revision", listing.Position.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
 	return listing, watchResult{err: err, interrupted: upCtx.Err() != nil, timedOut: watchCtx.Err() != nil}
 }
+
+// retryGrowth is the ratio of a pause after a failed call to the one before.
+const retryGrowth = 1.5
+
+// recordFailure records a failed call and waits. Until callAfter, only other VMs are asked.
+func (f *Follower) recordFailure(ctx context.Context, op, prefix string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.link.Failed() {
+		f.log.Warn("store lost", zap.String("op", op), zap.String("prefix", prefix), zap.Error(err))
+	}
+	pause := min(float64(f.config.RetryDelay)*math.Pow(retryGrowth, float64(f.failures)), float64(f.config.MaxRetryDelay))
+	f.failures++
+	f.callAfter = f.timers.Now().Add(time.Duration(pause))
+	f.timers.Sleep(ctx, f.config.RetryDelay)
+}
--- a/entry/follower/reader_test.go
+++ b/entry/follower/reader_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"jackdawcart.org/platform/decoder"
+	"jackdawcart.org/platform/storer"
 )
 
 // A VM that starts must not become ready with a configuration that has been replaced,
@@ -77,6 +78,35 @@
 	})
 }
 
+// A VM that has lost the history and cannot read in full must follow another VM. It waited
+// for the store instead, by an older configuration.
+func TestReadFailsAfterLostHistory(t *testing.T) {
+	run(t, func(fx *fixture) {
+		fx.store.setRefuseLists()
+		fx.store.dropHistory(decoder.ConfigurationKey, version(2))
+		time.Sleep(5 * time.Second)
+		fx.peers.set(true, 100, storer.Item{Key: decoder.ConfigurationKey, Value: []byte(`{"version":3}`), Revision: 100})
+		time.Sleep(time.Second)
+		checkVersion(t, fx, 3)
+	})
+}
+
+// A store that answers renewals but refuses reads must not get a read after each renewal: a
+// VM called it every half second, for as long as it refused.
+func TestRefusedReads(t *testing.T) {
+	const maxReads = 10
+	runPrepared(t, func(fx *fixture) { fx.store.setRefuseLists() }, func(fx *fixture) {
+		_, before := fx.store.reads()
+		for range 90 {
+			time.Sleep(100 * time.Millisecond)
+			fx.link.Succeeded(time.Now())
+		}
+		if _, after := fx.store.reads(); after == before || after-before > maxReads {
+			t.Errorf("%d reads in 9 s, want 1 to %d", after-before, maxReads)
+		}
+	})
+}
+
 func checkVersion(t *testing.T, fx *fixture, want int64) {
 	t.Helper()
 	if got := fx.version(); got != want {
