--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -20,6 +20,8 @@
 // Store is the platform's store.
 type Store interface {
 	List(ctx context.Context, prefix string) (storer.Listing, error)
+	// ListSerializable costs a tenth of List, but the listing may be seconds old.
+	ListSerializable(ctx context.Context, prefix string) (storer.Listing, error)
 	Watch(ctx context.Context, prefix string, after sequencer.Position, wait time.Duration) (storer.Listing, error)
 }
 
@@ -29,6 +31,14 @@
 	// Watch returns the changes after a position, and false if no other VM serves
 	// them.
 	Watch(ctx context.Context, after sequencer.Position) (storer.Listing, bool)
+	// WatchAny is like Watch and also asks the VMs for which this one usually reads.
+	WatchAny(ctx context.Context, after sequencer.Position) (storer.Listing, bool)
+	// Rank returns the number of VMs that read from the store rather than this one.
+	Rank() int
+	// RecordSnapshot and RecordChanges record what this VM knows, wherever it is from, for VMs
+	// that need everything.
+	RecordSnapshot(listing storer.Listing)
+	RecordChanges(listing storer.Listing)
 	// PublishSnapshot and PublishChanges offer the others what this VM has read.
 	PublishSnapshot(position sequencer.Position)
 	PublishChanges(after sequencer.Position, listing storer.Listing)
@@ -44,13 +54,20 @@
 	// WatchWait is how long a watch waits for a change. Each watch is a call that
 	// is paid for.
 	WatchWait time.Duration
+	// ConfirmWait is how long the first watch after a full read that may be old waits for a
+	// change. The read is applied afterwards.
+	ConfirmWait time.Duration
 	// AnswerMargin is how long after WatchWait the answer of a watch may arrive.
 	AnswerMargin time.Duration
 	// BatchDelay is the pause after changes, so that the next watch returns several
 	// at once. It applies to a VM that is alone in its failure domain.
 	BatchDelay time.Duration
-	// RetryDelay is the pause after a failed call.
-	RetryDelay time.Duration
+	// TakeoverDelay is how long a VM without answers of others leaves it to each VM before it
+	// in the order to read from the store, and MaxTakeoverDelay the longest such time.
+	TakeoverDelay, MaxTakeoverDelay time.Duration
+	// RetryDelay is the pause after a failed call, and MaxRetryDelay the longest one after
+	// several. A store that answers renewals may refuse all else.
+	RetryDelay, MaxRetryDelay time.Duration
 	// GracePeriod is how long a target is kept whose registration is missing after an
 	// outage of the store.
 	GracePeriod time.Duration
@@ -68,6 +85,9 @@
 	watchAnswerMargin = 500 * time.Millisecond
 	// rereadTime covers the calls that read the missed changes.
 	rereadTime = 300 * time.Millisecond
+	// confirmWait is longer than the slowest answers of a store during trouble, so that a
+	// store that has changes sends them within it.
+	confirmWait = 300 * time.Millisecond
 )
 
 // DefaultConfig returns the production configuration. A change must be in force
@@ -78,13 +98,20 @@
 func DefaultConfig(applyBound, stabilityWindow time.Duration) Config {
 	return Config{
 		WatchWait:    max(stabilityWindow-watchAnswerMargin-rereadTime, watchAnswerMargin),
+		ConfirmWait:  confirmWait,
 		AnswerMargin: watchAnswerMargin,
 		BatchDelay:   time.Duration(batchDelayShare * float64(applyBound)),
-		RetryDelay:   300 * time.Millisecond,
+		// A VM takes over with one call.
+		TakeoverDelay:    60 * time.Millisecond,
+		MaxTakeoverDelay: 400 * time.Millisecond,
+
+		RetryDelay:    300 * time.Millisecond,
+		MaxRetryDelay: time.Second,
 		// Targets register again within two seconds after the store recovers.
 		GracePeriod: 2300 * time.Millisecond,
-		// Twice the time to live of an entry VM's lease.
-		MemberGracePeriod: 16 * time.Second,
+		// With the 15 s of an entry VM's lease, a VM counts for 24 s after its last renewal,
+		// three times the longest refusal.
+		MemberGracePeriod: 9 * time.Second,
 	}
 }
 
@@ -100,8 +127,19 @@
 	listeners Listeners
 	memberSet *registrar.MemberSet
 	members   []registrar.Member
-	// readAt is the position of the last full read, zero before the first one.
-	readAt sequencer.Position
+	// position is that of the last changes or full read that were applied, zero before the
+	// first one.
+	position sequencer.Position
+	// unconfirmed is a first full read that may be seconds old and is not yet applied.
+	unconfirmed *storer.Listing
+	// informedAt is when another VM answered last, or when everything was read since.
+	informedAt time.Time
+	// failures counts the calls that failed since the last answered one, and callAfter is when
+	// the next may be made.
+	failures  int
+	callAfter time.Time
+	// consistent makes the next full read one that is not older than the call.
+	consistent bool
 	// evacuated holds the failure domains whose targets get no requests.
 	evacuated container.Set[string]
 }
@@ -132,21 +170,17 @@
 const allKeys = ""
 
 func (f *Follower) replaceAll(listing storer.Listing) {
+	f.position = listing.Position
 	f.applyConfigurations(listing)
 	f.replaceEvacuations(listing.Items)
 	f.replaceTargets(listing)
-	var members []registrar.Member
-	for _, item := range listing.Items {
-		if member, ok := f.member(item); ok {
-			members = append(members, member)
-		}
-	}
-	f.memberSet.Replace(f.timers.Now(), members)
-	f.updateMembers()
+	f.replaceMembers(listing)
+	f.peers.RecordSnapshot(listing)
 	f.listeners.AllItems(listing.Items)
 }
 
 func (f *Follower) applyChanges(listing storer.Listing) {
+	f.position = listing.Position
 	f.applyConfigurations(listing)
 	f.applyEvacuations(listing.Items)
 	f.applyTargetChanges(listing)
@@ -161,46 +195,35 @@
 		}
 	}
 	f.updateMembers()
+	f.peers.RecordChanges(listing)
 	f.listeners.ChangedItems(listing.Items)
 }
 
-// Run keeps the configuration and the registrations current until the context ends:
-// it reads all keys, then follows their changes, and reads all keys again if the
-// store has dropped changes that it needs.
-func (f *Follower) Run(ctx context.Context) {
-	for f.link.WaitUp(ctx) {
-		listing, err := f.store.List(ctx, allKeys)
-		if err != nil {
-			f.recordFailure(ctx, "read", allKeys, err)
-			continue
-		}
-		f.recordSuccess()
-		if f.readAt != (sequencer.Position{}) && listing.Position.Era > f.readAt.Era {
-			f.link.LostData(f.timers.Now())
-		}
-		f.readAt = listing.Position
-		f.replaceAll(listing)
-		f.peers.PublishSnapshot(listing.Position)
-		f.watch(ctx, listing.Position)
-	}
-}
-
 // watch follows the changes after a position until the history is lost. A single
 // watch without an answer is not yet an outage; the next call decides.
-func (f *Follower) watch(ctx context.Context, position sequencer.Position) {
+func (f *Follower) watch(ctx context.Context, from sequencer.Position) {
+	position := from
+	f.informedAt = f.timers.Now()
 	unanswered := 0
 	for ctx.Err() == nil {
-		if listing, ok := f.peers.Watch(ctx, position); ok {
+		up, _ := f.link.State()
+		if listing, ok := f.watchPeers(ctx, position, up); ok {
+			f.informedAt = f.timers.Now()
 			f.peers.StopPublishing()
 			unanswered = 0
 			position = listing.Position
-			f.applyChanges(listing)
+			f.applyConfirmed(listing)
 			continue
 		}
-		if up, _ := f.link.State(); !up {
+		if !up {
+			f.applyUnconfirmed()
 			f.timers.Sleep(ctx, f.config.RetryDelay)
 			continue
 		}
+		if now := f.timers.Now(); now.Before(f.callAfter) || now.Sub(f.informedAt) < f.takeoverDelay() {
+			f.timers.Sleep(ctx, f.config.TakeoverDelay)
+			continue
+		}
 		listing, result := f.watchStore(ctx, position)
 		switch {
 		case result.err == nil:
@@ -208,60 +231,36 @@
 			unanswered = 0
 			f.peers.PublishChanges(position, listing)
 			position = listing.Position
-			f.applyChanges(listing)
+			f.applyConfirmed(listing)
 			if len(listing.Items) > 0 {
 				f.timers.Sleep(ctx, f.batchDelay())
 			}
 		case storer.IsKind(result.err, storer.KindHistoryLost):
 			f.log.Warn("history lost, reading in full", zap.String("prefix", allKeys), zap.Uint64("revision", position.Revision), zap.Error(result.err))
 			f.link.Interrupt()
+			// A full read that was too old to be followed may be so again.
+			f.consistent, f.unconfirmed = position == from, nil
 			return
 		case result.interrupted:
+			f.applyUnconfirmed()
 		case unanswered == 0 && result.timedOut:
+			f.applyUnconfirmed()
 			unanswered++
 			f.log.Warn("watch without an answer", zap.Uint64("revision", position.Revision), zap.Error(result.err))
 		default:
+			f.applyUnconfirmed()
 			f.recordFailure(ctx, "watch", allKeys, result.err)
 		}
 	}
 }
 
-// watchResult describes how a watch of the store ended.
-type watchResult struct {
-	err error
-	// interrupted means that the store was lost or dropped its history meanwhile.
-	interrupted bool
-	// timedOut means that no answer came within its bound.
-	timedOut bool
-}
-
-func (f *Follower) watchStore(ctx context.Context, position sequencer.Position) (storer.Listing, watchResult) {
-	upCtx, stop := f.link.WhileUp(ctx)
-	defer stop()
-	watchCtx, cancel := context.WithTimeout(upCtx, f.config.WatchWait+f.config.AnswerMargin)
-	defer cancel()
-	listing, err := f.store.Watch(watchCtx, allKeys, position, f.config.WatchWait)
-	f.log.Debug("watch ended", zap.String("prefix", allKeys), zap.Uint64("after", position.Revision),
-		zap.Uint64("revision", listing.Position.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
-	return listing, watchResult{err: err, interrupted: upCtx.Err() != nil, timedOut: watchCtx.Err() != nil}
-}
-
 func (f *Follower) recordSuccess() {
+	f.failures = 0
 	if outage, regained := f.link.Succeeded(f.timers.Now()); regained {
 		f.log.Info("store regained", zap.Duration("outage", outage))
 	}
 }
 
-func (f *Follower) recordFailure(ctx context.Context, op, prefix string, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if f.link.Failed() {
-		f.log.Warn("store lost", zap.String("op", op), zap.String("prefix", prefix), zap.Error(err))
-	}
-	f.timers.Sleep(ctx, f.config.RetryDelay)
-}
-
 // applyConfigurations puts the configurations of a listing in force unless a newer
 // version is.
 func (f *Follower) applyConfigurations(listing storer.Listing) {
