Status codes that the protocol does not have are malformed answers

Cause: entry/courier took every status below 200 as informational and waited for another answer until the deadline, and passed on 600 to 999. core/pooler took them as a failure that the target reports, and read their bodies, which need not end.

Change: 100 to 199 except 101 are informational, 200 to 599 are final, anything else is malformed at once: KindGarbled in the courier, KindMalformed in the pooler, which gateway and relay use. The request may have run.

--- a/core/pooler/pool.go
+++ b/core/pooler/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -22,7 +23,9 @@
 	// maxAnswerBytes bounds the size of a response body.
 	maxAnswerBytes = 1 << 20
 	// maxHeadBytes bounds the status line and headers of a response.
-	maxHeadBytes   = 64 << 10
+	maxHeadBytes = 64 << 10
+	// maxStatus is the largest status that the protocol has.
+	maxStatus      = 599
 	connectTimeout = time.Second
 	// cancelGrace is how long a cancelled request may take to end before its
 	// connection is closed.
@@ -322,6 +325,11 @@
 		return connectionError(err)
 	}
 	defer response.Body.Close()
+	// The transport has skipped informational answers. The body after another status is not
+	// read, as it may not end.
+	if status := response.StatusCode; status < http.StatusOK || status > maxStatus {
+		return &Error{Op: "receive", Kind: KindMalformed, Outcome: peerpb.Outcome_OUTCOME_UNKNOWN, Err: fmt.Errorf("status %03d is not final", status)}
+	}
 	body := bodyPool.Get().(*bytes.Buffer)
 	defer putBody(body)
 	if _, err := body.ReadFrom(io.LimitReader(response.Body, maxAnswerBytes+1)); err != nil {
--- a/entry/courier/answer.go
+++ b/entry/courier/answer.go
@@ -18,6 +18,9 @@
 // itself reads a head without limit.
 const maxHeadBytes = 64 << 10
 
+// maxStatus is the largest status that the protocol has.
+const maxStatus = 599
+
 // Memory limits for the bodies of answers.
 const (
 	// chunkBytes is the size of the pieces in which a long body is read. The first
@@ -176,7 +179,10 @@
 		if err != nil {
 			return errorReply(err), false
 		}
-		if response.StatusCode < http.StatusOK {
+		switch status := response.StatusCode; {
+		case status < http.StatusContinue, status == http.StatusSwitchingProtocols, status > maxStatus:
+			return errorReply(fmt.Errorf("status %03d is neither informational nor final", status)), false
+		case status < http.StatusOK:
 			continue
 		}
 		body, err := readBody(response, e.request.MaxBodyBytes, c.pool.memory)
