--- a/core/budgeter/budgeter.go
+++ b/core/budgeter/budgeter.go
@@ -57,6 +57,9 @@
 	served bool
 	// since is the time from which the connection counts as slow.
 	since time.Time
+	// phaseBefore and sinceBefore are those before a part of an answer is sent.
+	phaseBefore Phase
+	sinceBefore time.Time
 	// head, body and answer are the reserved bytes.
 	head, body, answer int
 	evicted            bool
@@ -145,6 +148,9 @@
 	return b.reserve(now, c, &c.body, n)
 }
 
+// Receiving records that the head of a request is complete and its body is not.
+func (b *Budget) Receiving(c *Connection) { c.phase = Receiving }
+
 // Received records that a request is complete, and reports whether it may run. If not, the
 // connection has been chosen to be closed.
 func (b *Budget) Received(c *Connection) bool {
@@ -155,6 +161,9 @@
 // BeginSending records memory that an answer holds until it is written. As it is in use
 // already, this does not fail.
 func (b *Budget) BeginSending(now time.Time, c *Connection, n int) (victims []*Connection) {
+	if c.phase != Sending {
+		c.phaseBefore, c.sinceBefore = c.phase, c.since
+	}
 	c.phase, c.since = Sending, now
 	if n > 0 {
 		victims, _ = b.makeRoom(now, c, n)
@@ -163,9 +172,12 @@
 	return victims
 }
 
-// EndSending releases the memory of the answer.
+// EndSending releases the memory of the answer. The request may still be received, if what
+// was sent is an informational answer.
 func (b *Budget) EndSending(c *Connection) {
-	c.phase = Running
+	if c.phase == Sending {
+		c.phase, c.since = c.phaseBefore, c.sinceBefore
+	}
 	b.add(c, &c.answer, -c.answer)
 }
 
--- a/core/budgeter/budgeter_test.go
+++ b/core/budgeter/budgeter_test.go
@@ -86,6 +86,23 @@
 	}
 }
 
+// A client that stopped after it had been asked to continue, or within a body that no
+// handler reads, counted as one whose request runs, and kept its connection while ordinary
+// ones were refused.
+func TestUnfinishedRequestIsClosedAfterContinue(t *testing.T) {
+	b := budgeter.New(budgeter.Config{MaxConnections: 1})
+	stalled := open(t, b, start)
+	b.ReserveHead(start, stalled, 10)
+	b.Received(stalled)
+	b.Receiving(stalled)
+	b.BeginSending(start, stalled, 0)
+	b.EndSending(stalled)
+	victims, ok := b.Open(at(time.Second), &budgeter.Connection{})
+	if !ok || len(victims) != 1 || victims[0] != stalled {
+		t.Fatalf("opened %v, closed %d connections", ok, len(victims))
+	}
+}
+
 // A crowd of connections without a request used up the descriptors. The oldest of them
 // must be closed for a new one, and not the connection that has been served.
 func TestConnectionsAreLimited(t *testing.T) {
@@ -121,7 +138,7 @@
 			}
 			i := rapid.IntRange(0, len(connections)-1).Draw(t, "connection")
 			c := connections[i]
-			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			switch rapid.IntRange(0, 7).Draw(t, "action") {
 			case 0:
 				b.ReserveHead(now, c, rapid.IntRange(0, 2000).Draw(t, "bytes"))
 			case 1:
@@ -134,7 +151,9 @@
 			case 4:
 				b.EndSending(c)
 			case 5:
-				b.Completed(now, c, 0)
+				b.Receiving(c)
+			case 6:
+				b.Completed(now, c, rapid.IntRange(0, 500).Draw(t, "bytes"))
 			default:
 				b.Close(c)
 				b.Close(c)
--- a/entry/runner/guard.go
+++ b/entry/runner/guard.go
@@ -210,6 +210,7 @@
 			inner.ServeHTTP(w, r)
 			return
 		}
+		c.receiving()
 		// This fails only on a closed connection.
 		_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
 		inner.ServeHTTP(w, r)
--- a/entry/runner/guarded_conn.go
+++ b/entry/runner/guarded_conn.go
@@ -160,6 +160,14 @@
 	})
 }
 
+// receiving records that the body of a request is to come. It is not known to run until all
+// of it has been read.
+func (c *guardedConn) receiving() {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.budget.Receiving(c.account)
+}
+
 // Received records that a message is complete, and reports whether it may be used.
 func (c *guardedConn) Received() bool {
 	c.guard.mu.Lock()
