--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -77,6 +77,7 @@
 	pools         *courier.Pools
 	responder     *responder.Responder
 	ready         *readiness
+	guard         *Guard
 	reloadSignals <-chan os.Signal
 
 	boundsMu sync.Mutex
@@ -121,6 +122,7 @@
 	e.shares = sharer.NewGroup(sharer.DefaultConfig())
 	e.assembleFollowing()
 	e.assembleServing()
+	limitHeap(e.platform.MemoryBytes)
 	e.log.Info("start", zap.String("version", version), zap.String("domain", platform.Domain),
 		zap.Stringer("callers", platform.CallerAddress), zap.Stringer("store", platform.StoreAddress))
 	return e, nil
@@ -191,6 +193,7 @@
 	}
 	e.responder = responder.New(config, dependencies, e.metrics.Scope, e.log)
 	e.ready = &readiness{state: e.state}
+	e.guard = NewGuard(e.platform.MemoryBytes, e.platform.MaxFDs, e.writeTimeout, e.metrics.Scope, e.log)
 }
 
 // assumedEntryVMs is used as the number of entry VMs until it is known.
@@ -350,7 +353,7 @@
 		writing.Wait()
 		return err
 	}
-	running.Go(func() { e.peerServer.Serve(tasks, listener) })
+	running.Go(func() { e.peerServer.Serve(tasks, e.guard.ListenMessages(listener)) })
 	for _, task := range []func(context.Context){
 		e.follower.Run, e.follower.SweepExpired, e.announcer.Run, e.watchFiles, e.peerServer.Exchange,
 		e.inspector.Run, e.publishReports, e.responder.Probe,
