Close connections to targets after answers without an ID

A connection to a target is no longer used after an answer without an ID. Connections to other entry VMs are kept, which repeat no answers.

TestLateCopyOfAnAnswerWithoutID failed before for a health check and for a refusal, and passes now.

--- a/entry/courier/answer.go
+++ b/entry/courier/answer.go
@@ -193,11 +193,19 @@
 		if !e.request.AnyAnswer {
 			reply.Result, reply.Err = classify(reply)
 		}
-		return reply, !response.Close && c.buffer.Buffered() == 0
+		return reply, e.identifies(reply.Answer) && !response.Close && c.buffer.Buffered() == 0
 	}
 	return errorReply(errors.New("answers to other requests only")), false
 }
 
+// identifies reports whether a late second copy of an answer can be told from the answer to
+// the next request on the connection. Answers to health checks have no ID, and neither have
+// some refusals of targets. Other entry VMs repeat no answers.
+func (e *Exchange) identifies(answer decoder.Answer) bool {
+	toOtherVM := e.request.AnyAnswer && e.request.RequestID != ""
+	return answer.RequestID != "" || toOtherVM
+}
+
 // classify returns the result for an answer that was read completely.
 func classify(r Reply) (placer.Result, error) {
 	switch {
--- a/entry/courier/courier_test.go
+++ b/entry/courier/courier_test.go
@@ -147,6 +147,39 @@
 	}
 }
 
+// A target may repeat an answer without an ID, such as that to a health check, when the next
+// request arrives. Such a copy was taken for the answer to that request, which then ran twice
+// or was reported as not run.
+func TestLateCopyOfAnAnswerWithoutID(t *testing.T) {
+	healthCheck := newRequest("", time.Second)
+	healthCheck.AnyAnswer = true
+	for name, first := range map[string]courier.Request{"health check": healthCheck, "refusal": newRequest("refused", time.Second)} {
+		t.Run(name, func(t *testing.T) {
+			const withoutID = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+			tgt := newTarget(t, func(c net.Conn, r *bufio.Reader) {
+				for {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if id := request.Header.Get("Request-Id"); id == "next" {
+						answer(c, id, "fresh")
+						continue
+					}
+					fmt.Fprint(c, withoutID)
+					if _, err := r.Peek(1); err != nil {
+						return
+					}
+					fmt.Fprint(c, withoutID)
+				}
+			})
+			p := pool(t, tgt.address, 1)
+			check(t, "status of the first answer", send(t, p, first).Status, http.StatusServiceUnavailable)
+			check(t, "body of the next answer", string(send(t, p, newRequest("next", time.Second)).Body), "fresh")
+		})
+	}
+}
+
 // Bytes that follow a complete answer belong to no request and must not be read
 // as the answer to the next one.
 func TestBytesAfterAnAnswer(t *testing.T) {
