Ignore entries of the store and evidence that are not whole

An unreadable registration removed the target, and a clearance of any bytes ended a quarantine.

An entry that lacks, misspells or garbles a field neither registers nor removes anything: registrations, entry VMs, losses and evidence of other VMs. The value of a loss written by hand may be empty.

The registrations in tests of the follower lacked version and coldRemainingMs, and the targets in those of the inspector had no service; both now are as targets write them.

--- a/core/registrar/members.go
+++ b/core/registrar/members.go
@@ -51,9 +51,13 @@
 	}
 }
 
-// Replace applies a full listing of the announced members.
-func (s *MemberSet) Replace(now time.Time, members []Member) {
+// Replace applies a full listing of the announced members. Those listed with a value that
+// cannot be read, unreadable, stay as they are.
+func (s *MemberSet) Replace(now time.Time, members []Member, unreadable ...string) {
 	present := make(map[string]bool, len(members))
+	for _, name := range unreadable {
+		present[name] = true
+	}
 	for _, m := range members {
 		present[m.Name] = true
 		s.MarkPresent(m)
--- a/core/registrar/registry.go
+++ b/core/registrar/registry.go
@@ -228,10 +228,14 @@
 }
 
 // Replace applies a full listing of the registrations at a position. Targets that
-// are not listed are removed, or held for the grace period as in Remove.
-func (r *Registry) Replace(now time.Time, entries []Entry, position sequencer.Position, outageEnd time.Time) []Event {
+// are not listed are removed, or held for the grace period as in Remove. Those listed with a
+// value that cannot be read, unreadable, stay as they are.
+func (r *Registry) Replace(now time.Time, entries []Entry, position sequencer.Position, outageEnd time.Time, unreadable ...string) []Event {
 	var events []Event
 	seen := make(map[string]bool, len(entries))
+	for _, id := range unreadable {
+		seen[id] = true
+	}
 	for _, e := range entries {
 		seen[e.Target.ID] = true
 		if event := r.Put(now, e); event.Change != Unchanged {
--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"strings"
 	"time"
@@ -27,18 +28,33 @@
 	RequestAddress netip.AddrPort `json:"request-address"`
 }
 
-// ParseItem returns the entry VM that an item announces, and false for other items.
-// If the value is invalid, such as that of a removed key, only the name is set.
-func ParseItem(item storer.Item) (registrar.Member, bool) {
+// ParseItem returns the entry VM that an item announces, and false for other items. Of a
+// removed key only the name is set. A value in which a field is missing or invalid gives an
+// error with the name set.
+func ParseItem(item storer.Item) (member registrar.Member, ok bool, err error) {
 	name, ok := strings.CutPrefix(item.Key, prefix)
-	if !ok {
-		return registrar.Member{}, false
+	if !ok || name == "" {
+		return registrar.Member{}, false, nil
+	}
+	if item.Gone {
+		return registrar.Member{Name: name}, true, nil
 	}
 	var value announcement
 	if err := json.Unmarshal(item.Value, &value); err != nil {
-		return registrar.Member{Name: name}, true
+		return registrar.Member{Name: name}, true, err
+	}
+	switch {
+	case value.Domain == "":
+		err = errors.New("domain is missing")
+	case !value.Address.IsValid():
+		err = errors.New("address is missing")
+	case !value.RequestAddress.IsValid():
+		err = errors.New("request-address is missing")
+	}
+	if err != nil {
+		return registrar.Member{Name: name}, true, err
 	}
-	return registrar.Member{Name: name, Domain: value.Domain, Address: value.Address, RequestAddress: value.RequestAddress}, true
+	return registrar.Member{Name: name, Domain: value.Domain, Address: value.Address, RequestAddress: value.RequestAddress}, true, nil
 }
 
 // Store is the platform's store.
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"jackdawcart.org/core/container"
+	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
 	"jackdawcart.org/core/sequencer"
@@ -103,7 +104,8 @@
 	// readAt is the position of the last full read, zero before the first one.
 	readAt sequencer.Position
 	// evacuated holds the failure domains whose targets get no requests.
-	evacuated container.Set[string]
+	evacuated  container.Set[string]
+	rejections *logger.Rejections
 }
 
 // Listeners are called after each change of the State and of the entry VMs.
@@ -115,6 +117,9 @@
 	Evacuated func(domains container.Set[string])
 	// AllItems is called with everything in the store, ChangedItems with each change.
 	AllItems, ChangedItems func(items []storer.Item)
+	// Rejected is called with the kind of each entry that is ignored because it is invalid.
+	// It may be nil.
+	Rejected func(kind string)
 }
 
 // New returns a follower that updates state.
@@ -123,7 +128,7 @@
 ) *Follower {
 	return &Follower{
 		config: config, store: store, link: link, peers: peers, state: state, timers: timers, log: log, listeners: listeners,
-		memberSet: registrar.NewMemberSet(config.MemberGracePeriod),
+		memberSet: registrar.NewMemberSet(config.MemberGracePeriod), rejections: logger.NewRejections(log, listeners.Rejected),
 	}
 }
 
@@ -135,14 +140,7 @@
 	f.applyConfigurations(listing)
 	f.replaceEvacuations(listing.Items)
 	f.replaceTargets(listing)
-	var members []registrar.Member
-	for _, item := range listing.Items {
-		if member, ok := f.member(item); ok {
-			members = append(members, member)
-		}
-	}
-	f.memberSet.Replace(f.timers.Now(), members)
-	f.updateMembers()
+	f.replaceMembers(listing.Items)
 	f.listeners.AllItems(listing.Items)
 }
 
@@ -150,17 +148,7 @@
 	f.applyConfigurations(listing)
 	f.applyEvacuations(listing.Items)
 	f.applyTargetChanges(listing)
-	for _, item := range listing.Items {
-		member, ok := f.member(item)
-		switch {
-		case !ok:
-		case item.Gone:
-			f.memberSet.MarkMissing(f.timers.Now(), member.Name)
-		default:
-			f.memberSet.MarkPresent(member)
-		}
-	}
-	f.updateMembers()
+	f.applyMembers(listing.Items)
 	f.listeners.ChangedItems(listing.Items)
 }
 
@@ -271,7 +259,7 @@
 		}
 		table, err := decoder.Configuration(item.Value)
 		if err != nil {
-			f.log.Error("configuration is invalid", zap.Uint64("revision", item.Revision), zap.Error(err))
+			f.rejections.Add("configuration", item.Key, err)
 			continue
 		}
 		if !f.state.setTable(table) {
@@ -289,15 +277,24 @@
 func (f *Follower) replaceTargets(listing storer.Listing) {
 	now := f.timers.Now()
 	entries := make([]registrar.Entry, 0, len(listing.Items))
+	var unreadable []string
 	for _, item := range listing.Items {
-		if e, ok := f.entry(listing.PositionOf(item), item); ok {
+		id, ok := decoder.TargetID(item.Key)
+		if !ok {
+			continue
+		}
+		if e, ok := f.entry(listing.PositionOf(item), id, item); ok {
 			entries = append(entries, e)
+		} else {
+			unreadable = append(unreadable, id)
 		}
 	}
 	outageEnd := f.link.LongOutageEnd(now, f.config.GracePeriod)
 	var events []registrar.Event
 	first := f.state.TargetCount() == 0
-	f.state.updateRegistry(func(r *registrar.Registry) { events = r.Replace(now, entries, listing.Position, outageEnd) })
+	f.state.updateRegistry(func(r *registrar.Registry) {
+		events = r.Replace(now, entries, listing.Position, outageEnd, unreadable...)
+	})
 	if first {
 		f.log.Info("registrations read", zap.Int("targets", len(events)), zap.Uint64("revision", listing.Position.Revision))
 		f.notify(zapcore.DebugLevel, events)
@@ -320,24 +317,20 @@
 			f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, position, outageEnd)) })
 			continue
 		}
-		if e, ok := f.entry(position, item); ok {
+		if e, ok := f.entry(position, id, item); ok {
 			f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Put(now, e)) })
-			continue
 		}
-		// The new value is not a valid registration, so the target is gone.
-		f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, position, time.Time{})) })
 	}
 	f.notify(zapcore.InfoLevel, events)
 }
 
-func (f *Follower) entry(position sequencer.Position, item storer.Item) (registrar.Entry, bool) {
-	id, ok := decoder.TargetID(item.Key)
-	if !ok {
-		return registrar.Entry{}, false
-	}
+// entry decodes the registration of the target id, and returns false if it is invalid. Any
+// process may write such a value, so it says nothing about the target, whose former
+// registration stays in force.
+func (f *Follower) entry(position sequencer.Position, id string, item storer.Item) (registrar.Entry, bool) {
 	target, err := decoder.Registration(id, item.Value)
 	if err != nil {
-		f.log.Warn("registration is invalid", zap.String("target", id), zap.Error(err))
+		f.rejections.Add("registration", item.Key, err)
 		return registrar.Entry{}, false
 	}
 	return registrar.Entry{Position: position, Target: target}, true
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -204,7 +204,7 @@
 // numbered is a registration with the target's own count of its writes.
 func numbered(state string, sequence int) map[string]any {
 	return map[string]any{
-		"service": "shard", "address": "10.0.0.1:80", "zone": "a", "slots": 2, "state": state, "born": 1, "sequence": sequence,
+		"service": "shard", "address": "10.0.0.1:80", "zone": "a", "version": "v1", "slots": 2, "state": state, "coldRemainingMs": 0, "born": 1, "sequence": sequence,
 	}
 }
 
@@ -352,6 +352,41 @@
 	})
 }
 
+// An entry of another writer that lacks a field must neither register nor remove a target,
+// also when a VM reads it in full. It named a target under a foreign service, and an
+// unreadable one removed the target.
+func TestInvalidRegistrationIsIgnored(t *testing.T) {
+	foreign := registration("ready")
+	foreign["service"] = "other"
+	delete(foreign, "sequence")
+	for name, value := range map[string]any{"missing field": foreign, "text": "x", "number": 7} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(fx *fixture) {
+				fx.store.put("servers/i-1", registration("ready"))
+				time.Sleep(2 * time.Second)
+				fx.store.put("servers/i-1", value)
+				fx.store.put("servers/i-2", value)
+				time.Sleep(2 * time.Second)
+				fx.expectTargets(t, "after the entries", 1, 0)
+				fx.store.dropHistory(decoder.ConfigurationKey, version(2))
+				time.Sleep(6 * time.Second)
+				fx.expectTargets(t, "after a full read", 1, 0)
+				if got := fx.version(); got != 2 {
+					t.Errorf("version %d is in force, want 2", got)
+				}
+			})
+		})
+	}
+}
+
+// expectTargets checks the number of targets of the services shard and other.
+func (fx *fixture) expectTargets(t *testing.T, when string, shard, other int) {
+	t.Helper()
+	if a, b := len(fx.state.Targets("shard")), len(fx.state.Targets("other")); a != shard || b != other {
+		t.Errorf("%s: %d and %d targets, want %d and %d", when, a, b, shard, other)
+	}
+}
+
 // A target whose registration expired while the store was down is held for the grace
 // period, in which it may register again, and then removed.
 func TestExpiredRegistrationIsHeld(t *testing.T) {
--- a/entry/follower/members.go
+++ b/entry/follower/members.go
@@ -12,13 +12,40 @@
 	"jackdawcart.org/platform/storer"
 )
 
-// member returns the entry VM that an item announces, and false for other items.
-func (f *Follower) member(item storer.Item) (registrar.Member, bool) {
-	member, ok := announcer.ParseItem(item)
-	if ok && !item.Gone && !member.Address.IsValid() {
-		f.log.Warn("entry VM is announced without a valid address and cannot be polled", zap.String("vm", member.Name), zap.Uint64("revision", item.Revision))
+// replaceMembers applies the entry VMs of a full listing.
+func (f *Follower) replaceMembers(items []storer.Item) {
+	var members []registrar.Member
+	var unreadable []string
+	for _, item := range items {
+		member, ok, err := announcer.ParseItem(item)
+		switch {
+		case !ok:
+		case err != nil:
+			f.rejections.Add("entry-vm", item.Key, err)
+			unreadable = append(unreadable, member.Name)
+		default:
+			members = append(members, member)
+		}
+	}
+	f.memberSet.Replace(f.timers.Now(), members, unreadable...)
+	f.updateMembers()
+}
+
+// applyMembers applies the entry VMs of a listing of changes.
+func (f *Follower) applyMembers(items []storer.Item) {
+	for _, item := range items {
+		member, ok, err := announcer.ParseItem(item)
+		switch {
+		case !ok:
+		case err != nil:
+			f.rejections.Add("entry-vm", item.Key, err)
+		case item.Gone:
+			f.memberSet.MarkMissing(f.timers.Now(), member.Name)
+		default:
+			f.memberSet.MarkPresent(member)
+		}
 	}
-	return member, ok
+	f.updateMembers()
 }
 
 // updateMembers notifies the listener if the set of entry VMs has changed.
--- a/entry/informer/client.go
+++ b/entry/informer/client.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/sequencer"
 	"jackdawcart.org/core/timer"
@@ -34,6 +35,8 @@
 	timers  *timer.Service
 	count   func(outcome string)
 	log     *zap.Logger
+	// rejections records invalid evidence of other VMs.
+	rejections *logger.Rejections
 
 	mu        sync.Mutex
 	upstreams []registrar.Member
@@ -52,7 +55,7 @@
 ) *Client {
 	return &Client{
 		config: config, self: self, dial: dial, eras: eras, tracker: tracker, reports: reports, timers: timers, count: count, log: log,
-		retryAt: make(map[string]time.Time),
+		retryAt: make(map[string]time.Time), rejections: logger.NewRejections(log, config.Rejected),
 	}
 }
 
@@ -152,7 +155,7 @@
 		return storer.Listing{}, &Error{Op: "ask", Kind: KindUnanswered, Err: err}
 	}
 	c.eras.ObserveEra(answer.GetEra())
-	c.tracker.MergeEvidence(c.timers.Now(), fromEvidence(answer.GetEvidence()))
+	c.tracker.MergeEvidence(c.timers.Now(), fromEvidence(answer.GetEvidence(), c.rejections))
 	c.reports.MergeReports(c.timers.Now(), fromReports(answer.GetReports()))
 	switch answer.GetState() {
 	case informerpb.State_STATE_READING:
--- a/entry/informer/frame.go
+++ b/entry/informer/frame.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
+	"math"
 	"net"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/pacer"
 	"jackdawcart.org/core/placer"
 	"jackdawcart.org/core/quarantiner"
@@ -82,21 +86,43 @@
 	return list
 }
 
-func fromEvidence(list []*informerpb.Evidence) []placer.Evidence {
-	evidence := make([]placer.Evidence, len(list))
-	for i, e := range list {
-		evidence[i] = placer.Evidence{
+// fromEvidence returns the evidence of another VM, without what is invalid.
+func fromEvidence(list []*informerpb.Evidence, rejections *logger.Rejections) []placer.Evidence {
+	evidence := make([]placer.Evidence, 0, len(list))
+	for _, e := range list {
+		if err := checkEvidence(e); err != nil {
+			rejections.Add("evidence", e.GetTarget(), err)
+			continue
+		}
+		next := placer.Evidence{
 			Service: e.GetService(), Target: e.GetTarget(),
 			Answered: int(e.GetAnswered()), Failed: int(e.GetFailed()), Latency: float64(e.GetLatency()),
 			LimitObserved: e.GetLimit() != nil, Limit: fromLimit(e.GetLimit()),
 		}
 		if born := e.GetLeavingBorn(); born.IsValid() {
-			evidence[i].Leaving, evidence[i].Born = true, born.AsTime()
+			next.Leaving, next.Born = true, born.AsTime()
 		}
+		evidence = append(evidence, next)
 	}
 	return evidence
 }
 
+func checkEvidence(e *informerpb.Evidence) error {
+	switch {
+	case e.GetService() == "" || e.GetTarget() == "":
+		return errors.New("no service or no target")
+	case !isCount(float64(e.GetLatency())):
+		return fmt.Errorf("latency is %g", e.GetLatency())
+	case !isCount(e.GetLimit().GetPerSecond()):
+		return fmt.Errorf("limit is %g", e.GetLimit().GetPerSecond())
+	default:
+		return nil
+	}
+}
+
+// isCount reports whether a number is finite and not negative.
+func isCount(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
+
 func toLimit(e placer.Evidence) *informerpb.Limit {
 	switch {
 	case !e.LimitObserved:
--- a/entry/informer/informer.go
+++ b/entry/informer/informer.go
@@ -42,6 +42,8 @@
 	MaxBatches int
 	// MaxMessageBytes bounds the size of a message.
 	MaxMessageBytes int
+	// Rejected is called with the kind of each invalid part of a message. It may be nil.
+	Rejected func(kind string)
 }
 
 // DefaultConfig returns the constants used in production.
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/acceptor"
+	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/sequencer"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/informer/informerpb"
@@ -41,6 +42,8 @@
 	reports ReportTracker
 	timers  *timer.Service
 	log     *zap.Logger
+	// rejections records invalid evidence of other VMs.
+	rejections *logger.Rejections
 
 	mu          sync.Mutex
 	reading     bool
@@ -58,6 +61,7 @@
 	return &Server{
 		config: config, link: link, eras: eras, tracker: tracker, reports: reports, timers: timers, log: log,
 		history: history{max: config.MaxItems}, evidenceLog: evidenceLog{max: config.MaxBatches}, changed: make(chan struct{}),
+		rejections: logger.NewRejections(log, config.Rejected),
 	}
 }
 
@@ -156,7 +160,7 @@
 		answer := s.answer(ctx, &request)
 		answer.Reports, answer.Era = toReports(s.reports.Unpublished()), s.eras.Era()
 		s.mu.Lock()
-		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence()))
+		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence(), s.rejections))
 		remote, n := s.evidenceLog.since(next, peer)
 		s.mu.Unlock()
 		next, answer.Evidence = n, toEvidence(remote)
--- a/entry/inspector/inspector.go
+++ b/entry/inspector/inspector.go
@@ -21,6 +21,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/timer"
@@ -57,6 +58,8 @@
 	timers *timer.Service
 	scope  tally.Scope
 	log    *zap.Logger
+	// rejections records invalid reports of others.
+	rejections *logger.Rejections
 	// probes has an element for each running probe.
 	probes chan struct{}
 	// active is signalled when something has to be evaluated soon, due when there are
@@ -83,11 +86,12 @@
 func New(dial Dialer, timers *timer.Service, scope tally.Scope, log *zap.Logger) *Inspector {
 	return &Inspector{
 		dial: dial, timers: timers, scope: scope, log: log,
-		probes:  make(chan struct{}, maxProbes),
-		active:  make(chan struct{}, 1),
-		due:     make(chan struct{}, 1),
-		state:   quarantiner.New(quarantiner.DefaultConfig()),
-		reports: quarantiner.NewReports(), abandonedAt: make(map[string]abandonedTarget),
+		rejections: newRejections(scope, log),
+		probes:     make(chan struct{}, maxProbes),
+		active:     make(chan struct{}, 1),
+		due:        make(chan struct{}, 1),
+		state:      quarantiner.New(quarantiner.DefaultConfig()),
+		reports:    quarantiner.NewReports(), abandonedAt: make(map[string]abandonedTarget),
 		waiting: make(map[string][]func(bool)), lostAt: make(map[string]time.Time),
 	}
 }
@@ -351,11 +355,13 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, report := range reports {
-		switch {
-		case report.Fingerprint == 0:
-		case report.Clearance():
+		if err := checkReport(report); err != nil {
+			i.rejections.Add(rejectedLoss, report.Target, err)
+			continue
+		}
+		if report.Clearance() {
 			i.recordClearance(now, report)
-		default:
+		} else {
 			i.recordLoss(now, report, now.Add(relayDelay))
 		}
 	}
--- a/entry/inspector/inspector_test.go
+++ b/entry/inspector/inspector_test.go
@@ -104,7 +104,9 @@
 
 func ignore(bool) {}
 
-func target(id string) registrar.Record { return registrar.Record{Target: registrar.Target{ID: id}} }
+func target(id string) registrar.Record {
+	return registrar.Record{Target: registrar.Target{ID: id, Service: "a"}}
+}
 
 // run runs f with the inspectors of several VMs, on virtual time.
 func run(t *testing.T, vms int, dial inspector.Dialer, f func(s *store, vms []*inspector.Inspector)) {
--- a/entry/inspector/publisher.go
+++ b/entry/inspector/publisher.go
@@ -4,14 +4,17 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/quarantiner"
 	"jackdawcart.org/platform/storer"
 )
@@ -112,37 +115,79 @@
 	return value
 }
 
-// parseItem returns the report that an item stands for, and false for other items.
-func parseItem(item storer.Item) (quarantiner.Report, bool) {
+// parseItem returns the report that an item stands for, and false for other items. Of a
+// removed key only the fingerprint and the target are set. An invalid key or value gives an
+// error, with what could be read of the key.
+func parseItem(item storer.Item) (report quarantiner.Report, ok bool, err error) {
 	rest, ok := strings.CutPrefix(item.Key, prefix)
 	if !ok {
-		return quarantiner.Report{}, false
+		return quarantiner.Report{}, false, nil
 	}
 	text, name, ok := strings.Cut(rest, "/")
 	fingerprint, err := strconv.ParseUint(text, 16, 64)
 	if !ok || err != nil || fingerprint == 0 || name == "" {
-		return quarantiner.Report{}, false
+		return quarantiner.Report{}, true, errors.New("the key has no fingerprint or no target")
 	}
 	if name == clearedKey {
 		name = ""
 	}
-	var value reportValue
-	if json.Unmarshal(item.Value, &value) != nil {
-		// A value that cannot be read says as little as one without parts.
-		value.Parts = nil
+	report = quarantiner.Report{Fingerprint: fingerprint, Target: name}
+	if item.Gone {
+		return report, true, nil
 	}
-	return quarantiner.Report{Fingerprint: fingerprint, Target: name, Parts: value.Parts}, true
+	if len(item.Value) == 0 {
+		return report, true, nil
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(item.Value, &fields); err != nil {
+		return report, true, err
+	}
+	parts, ok := fields[partsField]
+	if !ok && len(fields) > 0 {
+		// A report with a misspelled field would concern all parts.
+		return report, true, errors.New("parts is missing")
+	}
+	if ok {
+		err = json.Unmarshal(parts, &report.Parts)
+	}
+	return report, true, cmp.Or(err, checkReport(report))
+}
+
+// partsField is the name of reportValue's field.
+const partsField = "parts"
+
+// checkReport returns an error if a report of another process is invalid.
+func checkReport(report quarantiner.Report) error {
+	switch {
+	case report.Fingerprint == 0:
+		return errors.New("no fingerprint")
+	case slices.Contains(report.Parts, ""):
+		return errors.New("a part is empty")
+	default:
+		return nil
+	}
+}
+
+func newRejections(scope tally.Scope, log *zap.Logger) *logger.Rejections {
+	return logger.NewRejections(log, func(kind string) {
+		scope.Tagged(map[string]string{"kind": kind}).Counter("entries_rejected").Inc(1)
+	})
 }
 
+// rejectedLoss is the kind of rejected reports.
+const rejectedLoss = "loss"
+
 // ApplyItems records changes of the store. Items that are not reports are ignored.
 func (i *Inspector) ApplyItems(items []storer.Item) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.timers.Now()
 	for _, item := range items {
-		report, ok := parseItem(item)
+		report, ok, err := parseItem(item)
 		switch {
 		case !ok:
+		case err != nil:
+			i.rejections.Add(rejectedLoss, item.Key, err)
 		case item.Gone:
 			i.recordWithdrawn(now, report)
 		default:
@@ -156,9 +201,10 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.timers.Now()
-	reports := i.keepClearances(now, currentReports(items))
+	current, unreadable := i.currentReports(items)
+	reports := i.keepClearances(now, current)
 	for _, report := range i.reports.AllPublished() {
-		if !contains(reports, report) {
+		if !contains(reports, report) && !contains(unreadable, report) {
 			i.recordWithdrawn(now, report)
 		}
 	}
@@ -202,16 +248,22 @@
 }
 
 // currentReports returns the reports among items that hold, by the order in which they were
-// written.
-func currentReports(items []storer.Item) []quarantiner.Report {
+// written, and those whose value cannot be read, which stay as they are.
+func (i *Inspector) currentReports(items []storer.Item) (current, unreadable []quarantiner.Report) {
 	items = slices.SortedFunc(slices.Values(items), func(a, b storer.Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	var reports []quarantiner.Report
 	for _, item := range items {
-		if report, ok := parseItem(item); ok {
+		report, ok, err := parseItem(item)
+		switch {
+		case !ok:
+		case err != nil:
+			i.rejections.Add(rejectedLoss, item.Key, err)
+			unreadable = append(unreadable, report)
+		default:
 			reports = append(reports, report)
 		}
 	}
-	return quarantiner.Current(reports)
+	return quarantiner.Current(reports), unreadable
 }
 
 // recordPublished records a report in the store, which is at least as old as age. The
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -130,12 +130,13 @@
 	}
 	e.delegator = delegator.New(self, dial, e.timers)
 	peerConfig := informer.DefaultConfig()
+	peerConfig.Rejected = e.countRejected
 	e.peerClient = informer.NewClient(peerConfig, self, dial, e.store, e.placer, e.inspector, e.timers, e.countExchange, e.log)
 	e.peerServer = informer.NewServer(peerConfig, e.link, e.store, e.placer, e.inspector, e.timers, e.log)
 	e.follower = follower.New(config, e.store, e.link, peers{e.peerClient, e.peerServer}, e.state, e.timers, e.log,
 		follower.Listeners{
 			Table: e.onTable, Target: e.onTarget, EntryVMs: e.onEntryVMs, Evacuated: e.onEvacuated,
-			AllItems: e.inspector.ReplaceItems, ChangedItems: e.inspector.ApplyItems,
+			AllItems: e.inspector.ReplaceItems, ChangedItems: e.inspector.ApplyItems, Rejected: e.countRejected,
 		})
 	e.announcer = announcer.New(announcer.DefaultConfig(e.platform.ShutdownGrace), self, e.peerServer.HasClients, e.store, e.link, e.timers, e.log)
 }
@@ -164,6 +165,10 @@
 	e.metrics.Scope.Tagged(map[string]string{"outcome": outcome}).Counter("peer_exchanges").Inc(1)
 }
 
+func (e *entry) countRejected(kind string) {
+	e.metrics.Scope.Tagged(map[string]string{"kind": kind}).Counter("entries_rejected").Inc(1)
+}
+
 func (e *entry) assembleServing() {
 	e.bounds.EntryVMs, e.bounds.Domains = assumedEntryVMs, e.platform.Domains
 	e.setBounds(e.platform)
