Bound the changes that a VM keeps for others by bytes

Together they take at most 1/64 of limits.memoryMb and at least 2 MB. At most 4 answers of 64 KB and more are encoded at a time.

--- a/entry/informer/evidence.go
+++ b/entry/informer/evidence.go
@@ -5,9 +5,11 @@
 // evidenceLog holds the latest batches of evidence of all VMs. Batches are numbered
 // consecutively; next is the position after the last one.
 type evidenceLog struct {
-	max     int
-	next    uint64
-	batches []batch
+	maxBatches, maxEvidence int
+	next                    uint64
+	batches                 []batch
+	// evidence is the number of pieces of evidence in all batches.
+	evidence int
 }
 
 type batch struct {
@@ -21,8 +23,14 @@
 	}
 	l.next++
 	l.batches = append(l.batches, batch{sender, evidence})
-	if len(l.batches) > l.max {
-		l.batches = append([]batch(nil), l.batches[len(l.batches)-l.max:]...)
+	l.evidence += len(evidence)
+	dropped := 0
+	for len(l.batches)-dropped > l.maxBatches || l.evidence > l.maxEvidence {
+		l.evidence -= len(l.batches[dropped].evidence)
+		dropped++
+	}
+	if dropped > 0 {
+		l.batches = append([]batch(nil), l.batches[dropped:]...)
 	}
 }
 
--- a/entry/informer/frame.go
+++ b/entry/informer/frame.go
@@ -107,10 +107,16 @@
 	return evidence
 }
 
+// maxNameBytes bounds the names in evidence, which is kept for other VMs. No target or service
+// has a name of half that length.
+const maxNameBytes = 256
+
 func checkEvidence(e *informerpb.Evidence) error {
 	switch {
 	case e.GetService() == "" || e.GetTarget() == "":
 		return errors.New("no service or no target")
+	case len(e.GetService()) > maxNameBytes || len(e.GetTarget()) > maxNameBytes:
+		return fmt.Errorf("a name is longer than %d bytes", maxNameBytes)
 	case !isCount(float64(e.GetLatency())):
 		return fmt.Errorf("latency is %g", e.GetLatency())
 	case !isCount(e.GetLimit().GetPerSecond()):
--- a/entry/informer/informer.go
+++ b/entry/informer/informer.go
@@ -38,15 +38,36 @@
 	ClientTimeout time.Duration
 	// MaxItems bounds the changes that are kept for VMs that lag behind.
 	MaxItems int
-	// MaxBatches bounds the batches of evidence that are kept for VMs that lag behind.
-	MaxBatches int
-	// MaxMessageBytes bounds the size of a message.
-	MaxMessageBytes int
+	// MaxHistoryBytes bounds the same changes by their size.
+	MaxHistoryBytes int
+	// MaxBatches and MaxEvidence bound the batches of evidence that are kept for VMs that
+	// lag behind, and the pieces of evidence in them.
+	MaxBatches, MaxEvidence int
+	// MaxLargeAnswers bounds the large answers that are written at a time, each of which is
+	// encoded in memory.
+	MaxLargeAnswers int
+	// MaxMessageBytes bounds the size of an answer, MaxRequestBytes that of a request, which
+	// has no changes of the store.
+	MaxMessageBytes, MaxRequestBytes int
 	// Rejected is called with the kind of each invalid part of a message. It may be nil.
 	Rejected func(kind string)
 }
 
-// DefaultConfig returns the constants used in production.
+// minHistoryBytes is twice the largest value of the store, so that a VM that is one version of
+// a configuration behind is always served.
+const minHistoryBytes = 2 << 20
+
+// historyShare is the share of a VM's memory for the changes that it keeps for others. An
+// answer with all of them is encoded MaxLargeAnswers times at most.
+const historyShare = 1.0 / 64
+
+// SetMemory derives the bounds from the memory of the VM in bytes.
+func (c *Config) SetMemory(bytes int64) {
+	c.MaxHistoryBytes = max(int(historyShare*float64(bytes)), minHistoryBytes)
+}
+
+// DefaultConfig returns the constants used in production, with the bounds for the least
+// memory.
 func DefaultConfig() Config {
 	return Config{
 		Wait:          250 * time.Millisecond,
@@ -57,10 +78,15 @@
 		MaxStoreAge:   1700 * time.Millisecond,
 		ClientTimeout: 10 * time.Second,
 		// A reshard registers a few hundred targets at once.
-		MaxItems: 1000,
+		MaxItems:        1000,
+		MaxHistoryBytes: minHistoryBytes,
 		// VMs poll every quarter of a second, so this covers a few rounds of 64 VMs.
-		MaxBatches:      256,
+		MaxBatches: 256,
+		// About 3 MB: 100 rounds of a VM that sends to all of 160 targets.
+		MaxEvidence:     16 << 10,
+		MaxLargeAnswers: 4,
 		MaxMessageBytes: 8 << 20,
+		MaxRequestBytes: 1 << 20,
 	}
 }
 
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -51,6 +51,8 @@
 	evidenceLog evidenceLog
 	// lastPoll is the time of the last request of another VM.
 	lastPoll time.Time
+	// largeAnswers holds an element for each large answer that is being written.
+	largeAnswers chan struct{}
 	// changed is closed and replaced to wake the waiting requests.
 	changed chan struct{}
 }
@@ -60,7 +62,9 @@
 func NewServer(config Config, link Link, eras Eras, tracker EvidenceTracker, reports ReportTracker, timers *timer.Service, log *zap.Logger) *Server {
 	return &Server{
 		config: config, link: link, eras: eras, tracker: tracker, reports: reports, timers: timers, log: log,
-		history: history{max: config.MaxItems}, evidenceLog: evidenceLog{max: config.MaxBatches}, changed: make(chan struct{}),
+		history:     history{maxItems: config.MaxItems, maxBytes: config.MaxHistoryBytes},
+		evidenceLog: evidenceLog{maxBatches: config.MaxBatches, maxEvidence: config.MaxEvidence}, largeAnswers: make(chan struct{}, config.MaxLargeAnswers),
+		changed:    make(chan struct{}),
 		rejections: logger.NewRejections(log, config.Rejected),
 	}
 }
@@ -118,7 +122,7 @@
 			defer conn.Close()
 			defer context.AfterFunc(ctx, func() { conn.Close() })()
 			defer s.logPanic(conn.RemoteAddr())
-			s.serveConn(ctx, newMessageConn(conn, s.config.MaxMessageBytes))
+			s.serveConn(ctx, newMessageConn(conn, s.config.MaxRequestBytes))
 		})
 	})
 }
@@ -164,13 +168,37 @@
 		remote, n := s.evidenceLog.since(next, peer)
 		s.mu.Unlock()
 		next, answer.Evidence = n, toEvidence(remote)
-		if err := conn.write(answer); err != nil {
+		if err := s.write(ctx, conn, answer); err != nil {
 			s.log.Debug("connection to polling VM lost", zap.String("peer", peer), zap.Error(err))
 			return
 		}
 	}
 }
 
+// largeAnswerBytes is the size from which answers are written a few at a time.
+const largeAnswerBytes = 64 << 10
+
+// write sends an answer. All polling VMs ask for a new configuration at once, which must not
+// be in memory once for each of them. The one that has to wait too long has gone meanwhile.
+func (s *Server) write(ctx context.Context, conn *messageConn, answer *informerpb.Answer) error {
+	size := 0
+	for _, item := range answer.GetItems() {
+		size += len(item.GetKey()) + len(item.GetValue())
+	}
+	if size < largeAnswerBytes {
+		return conn.write(answer)
+	}
+	select {
+	case s.largeAnswers <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-s.largeAnswers }()
+	// SetWriteDeadline fails only on a closed connection, which the write below reports.
+	_ = conn.SetWriteDeadline(time.Now().Add(s.config.AnswerMargin))
+	return conn.write(answer)
+}
+
 // answer returns the changes after the position of the request, and waits for one
 // if there is none.
 func (s *Server) answer(ctx context.Context, request *informerpb.Request) *informerpb.Answer {
--- a/entry/inspector/publisher.go
+++ b/entry/inspector/publisher.go
@@ -156,13 +156,22 @@
 // partsField is the name of reportValue's field.
 const partsField = "parts"
 
+// Bounds of what is kept of a report of another process. No target or service has a name of
+// half that length, and no index has so many shards.
+const (
+	maxNameBytes = 256
+	maxParts     = 1024
+)
+
 // checkReport returns an error if a report of another process is invalid.
 func checkReport(report quarantiner.Report) error {
 	switch {
 	case report.Fingerprint == 0:
 		return errors.New("no fingerprint")
-	case slices.Contains(report.Parts, ""):
-		return errors.New("a part is empty")
+	case len(report.Target) > maxNameBytes || len(report.Parts) > maxParts:
+		return errors.New("the target or the list of parts is too long")
+	case slices.ContainsFunc(report.Parts, func(part string) bool { return part == "" || len(part) > maxNameBytes }):
+		return errors.New("a part is empty or too long")
 	default:
 		return nil
 	}
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -130,6 +130,7 @@
 	}
 	e.delegator = delegator.New(self, dial, e.timers)
 	peerConfig := informer.DefaultConfig()
+	peerConfig.SetMemory(e.platform.MemoryBytes)
 	peerConfig.Rejected = e.countRejected
 	e.peerClient = informer.NewClient(peerConfig, self, dial, e.store, e.placer, e.inspector, e.timers, e.countExchange, e.log)
 	e.peerServer = informer.NewServer(peerConfig, e.link, e.store, e.placer, e.inspector, e.timers, e.log)
