Put changed settings in force without a restart

A reload applied the repeat budget only.

Each setting now takes effect immediately, at its next use, or at a restart, which a line says. The files are also read when SIGTERM arrives, so a stop follows a grace period that has just changed, with or without SIGHUP. When platform.address changes, waiting watches end and the next call goes to the new address.

TestStopFollowsChangedGrace and TestStoreAddressChanges failed before.

--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -111,6 +112,9 @@
 	timers     *timer.Service
 	log        *zap.Logger
 
+	// leaveTimeout bounds the last call, because the process is about to end.
+	leaveTimeout atomic.Int64
+
 	// lease and revision are those of the VM's entry. The lease is zero while there is none.
 	lease    storer.Lease
 	revision uint64
@@ -123,7 +127,14 @@
 func New(config Config, self registrar.Member, hasClients func() bool, store Store, link *supervisor.Link, timers *timer.Service,
 	log *zap.Logger,
 ) *Announcer {
-	return &Announcer{config: config, self: self, hasClients: hasClients, store: store, link: link, timers: timers, log: log}
+	a := &Announcer{config: config, self: self, hasClients: hasClients, store: store, link: link, timers: timers, log: log}
+	a.leaveTimeout.Store(int64(config.LeaveTimeout))
+	return a
+}
+
+// SetGrace replaces the time that a planned stop may take.
+func (a *Announcer) SetGrace(grace time.Duration) {
+	a.leaveTimeout.Store(int64(DefaultConfig(grace).LeaveTimeout))
 }
 
 // Run announces the VM until the context ends, and then removes its entry.
@@ -212,7 +223,7 @@
 	if a.lease == (storer.Lease{}) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), a.config.LeaveTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.leaveTimeout.Load()))
 	defer cancel()
 	if err := a.store.Remove(ctx, prefix+a.self.Name, a.revision); err != nil {
 		a.log.Warn("cannot remove the entry; it remains until its lease expires", zap.Uint64("lease", a.lease.ID), zap.Error(err))
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -106,6 +107,8 @@
 	// evacuated holds the failure domains whose targets get no requests.
 	evacuated  container.Set[string]
 	rejections *logger.Rejections
+	// watchWait and batchPause are the current values of Config.WatchWait and BatchDelay.
+	watchWait, batchPause atomic.Int64
 }
 
 // Listeners are called after each change of the State and of the entry VMs.
@@ -126,10 +129,12 @@
 func New(config Config, store Store, link *supervisor.Link, peers Peers, state *State, timers *timer.Service, log *zap.Logger,
 	listeners Listeners,
 ) *Follower {
-	return &Follower{
+	f := &Follower{
 		config: config, store: store, link: link, peers: peers, state: state, timers: timers, log: log, listeners: listeners,
 		memberSet: registrar.NewMemberSet(config.MemberGracePeriod), rejections: logger.NewRejections(log, listeners.Rejected),
 	}
+	f.setDelays(config)
+	return f
 }
 
 // allKeys is the prefix of all keys. Watching them together costs one call instead
@@ -226,9 +231,10 @@
 func (f *Follower) watchStore(ctx context.Context, position sequencer.Position) (storer.Listing, watchResult) {
 	upCtx, stop := f.link.WhileUp(ctx)
 	defer stop()
-	watchCtx, cancel := context.WithTimeout(upCtx, f.config.WatchWait+f.config.AnswerMargin)
+	wait := time.Duration(f.watchWait.Load())
+	watchCtx, cancel := context.WithTimeout(upCtx, wait+f.config.AnswerMargin)
 	defer cancel()
-	listing, err := f.store.Watch(watchCtx, allKeys, position, f.config.WatchWait)
+	listing, err := f.store.Watch(watchCtx, allKeys, position, wait)
 	f.log.Debug("watch ended", zap.String("prefix", allKeys), zap.Uint64("after", position.Revision),
 		zap.Uint64("revision", listing.Position.Revision), zap.Int("items", len(listing.Items)), zap.Error(err))
 	return listing, watchResult{err: err, interrupted: upCtx.Err() != nil, timedOut: watchCtx.Err() != nil}
--- a/entry/follower/members.go
+++ b/entry/follower/members.go
@@ -76,5 +76,5 @@
 		}
 	}
 	share := max(1/math.Sqrt(float64(max(sameDomain, 1))), minBatchDelayShare)
-	return time.Duration(share * float64(f.config.BatchDelay))
+	return time.Duration(share * float64(f.batchPause.Load()))
 }
--- a/entry/runner/reload.go
+++ b/entry/runner/reload.go
@@ -47,11 +47,13 @@
 	return string(platform) + "\x00" + string(own)
 }
 
-// reload applies the settings that may change while the process runs, which are the
-// limits of the repeat budget. If a file cannot be loaded, the previous settings stay
-// in force.
+// reload puts the settings of both files in force that may change while the process runs. If
+// a file cannot be loaded, the previous settings stay in force.
 func (e *entry) reload(reason string) {
-	if _, err := configurer.Load(e.files.Own); err != nil {
+	e.reloadMu.Lock()
+	defer e.reloadMu.Unlock()
+	own, err := configurer.Load(e.files.Own)
+	if err != nil {
 		e.log.Error("cannot load own settings; keeping the previous ones", zap.String("reason", reason), zap.Error(err))
 		return
 	}
@@ -60,7 +62,28 @@
 		e.log.Error("cannot load platform settings; keeping the previous ones", zap.String("reason", reason), zap.Error(err))
 		return
 	}
-	e.setBounds(platform)
-	e.log.Info("settings reloaded", zap.String("reason", reason),
-		zap.Float64("repeat-ratio", platform.RepeatRatio), zap.Float64("repeat-extra", platform.RepeatExtra))
+	before := *e.inForce.Load()
+	after := Settings{Own: own, Platform: platform}
+	e.inForce.Store(&after)
+	e.apply(before, after)
+	e.log.Info("settings reloaded", zap.String("reason", reason), zap.Strings("changed", Changed(before, after)))
+	if waiting := NeedRestart(Settings{Own: e.own, Platform: e.platform}, after); len(waiting) > 0 {
+		e.log.Warn("changed settings take effect only after a restart", zap.Strings("settings", waiting))
+	}
+}
+
+// apply puts the settings in force whose effect is not only at a restart.
+func (e *entry) apply(before, after Settings) {
+	e.setBounds(after.Platform)
+	e.logLevel.SetLevel(after.Own.LogLevel)
+	e.follower.SetBounds(applyBound(after.Platform), after.Platform.StabilityWindow)
+	e.announcer.SetGrace(after.Platform.ShutdownGrace)
+	moved := before.Platform.StoreAddress != after.Platform.StoreAddress
+	if moved || before.Own.StoreTimeout != after.Own.StoreTimeout {
+		e.store.SetAddress(after.Platform.StoreAddress, after.Own.StoreTimeout)
+	}
+	if moved {
+		// Ends the waiting watches, which the former store would not answer any more.
+		e.link.Interrupt()
+	}
 }
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,9 +50,14 @@
 }
 
 type entry struct {
-	files     Files
+	files Files
+	// own and platform are the settings with which the process has started, and inForce
+	// those of the last reload.
 	own       configurer.Settings
 	platform  decoder.Settings
+	inForce   atomic.Pointer[Settings]
+	reloadMu  sync.Mutex
+	logLevel  zap.AtomicLevel
 	logLines  *logger.Bounded
 	log       *zap.Logger
 	metrics   *meter.Meter
@@ -109,7 +115,9 @@
 		files: files, own: own, platform: platform, spans: spans,
 		logLines: logger.NewBounded(), metrics: meter.New(process, platform.VM), timers: timer.NewService(),
 	}
-	e.log = logger.NewTo(e.logLines, own.LogLevel, process, platform.VM)
+	e.inForce.Store(&Settings{Own: own, Platform: platform})
+	e.logLevel = zap.NewAtomicLevelAt(own.LogLevel)
+	e.log = logger.NewTo(e.logLines, e.logLevel, process, platform.VM)
 	e.placer = placer.New(placer.DefaultConfig(), e.platform.VM, e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.assembleFollowing()
 	e.assembleServing()
@@ -121,7 +129,7 @@
 func (e *entry) assembleFollowing() {
 	e.store = storer.NewClient(e.platform.StoreAddress, e.own.StoreTimeout, storer.Hooks{Called: e.countCall, Restored: e.onStoreRestored})
 	e.link = supervisor.NewLink(e.timers.Now(), longOutage)
-	config := follower.DefaultConfig(min(e.platform.DrainNotice, e.platform.ConfigurationBound), e.platform.StabilityWindow)
+	config := follower.DefaultConfig(applyBound(e.platform), e.platform.StabilityWindow)
 	config.Domain = e.platform.Domain
 	e.state = follower.NewState(config.GracePeriod)
 	e.inspector = inspector.New(dial, e.timers, e.metrics.Scope, e.log)
--- a/entry/runner/serve.go
+++ b/entry/runner/serve.go
@@ -98,9 +98,12 @@
 // then stops accepting connections, and then waits for running requests.
 func (e *entry) shutdown(callers []*runningServer, busy *busyConnections, balancer, metrics *http.Server) error {
 	began := e.timers.Now()
-	e.log.Info("stopping", zap.Duration("grace", e.platform.ShutdownGrace))
 	e.ready.stop()
-	plan := stopper.Plan{Began: began, Grace: e.platform.ShutdownGrace}
+	// The files may have changed since they were last read.
+	e.reload("stop")
+	grace := e.inForce.Load().Platform.ShutdownGrace
+	e.log.Info("stopping", zap.Duration("grace", grace))
+	plan := stopper.Plan{Began: began, Grace: grace}
 	e.responder.Stop(plan)
 	time.Sleep(plan.LastAccept().Sub(began))
 	ctx, cancel := context.WithDeadline(context.Background(), plan.Close())
