Keep quarantines whose parts are known when a clearance names none

A VM of an earlier build takes a run at another shard for proof and publishes a clearance without parts.

A clearance without parts now ends only losses without parts: in the decision, in the reports that a VM publishes or reads in full, and in those of its neighbours. An operator who clears a request by hand has to name the parts.

TestClearanceWithoutParts failed before.

--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -103,8 +103,13 @@
 	return updates
 }
 
-// mergeClearance applies a clearance of a peer and reports whether it ended a suspicion.
+// mergeClearance applies a clearance of a peer and reports whether it ended a suspicion. A
+// clearance without parts is of a peer that does not tell them apart, and may be about another
+// part than the one at which targets were lost. It changes nothing if that one is known.
 func (q *Quarantiner) mergeClearance(now time.Time, e Entry) bool {
+	if len(e.Parts) == 0 && q.partsKnown(e.Fingerprint) {
+		return false
+	}
 	suspected := q.Suspected(Run{Fingerprint: e.Fingerprint})
 	for _, part := range partsOf(e) {
 		q.clear(now, Run{e.Fingerprint, part})
@@ -112,6 +117,15 @@
 	return suspected && !q.Suspected(Run{Fingerprint: e.Fingerprint})
 }
 
+// partsKnown reports whether targets were lost under a request at parts with names.
+func (q *Quarantiner) partsKnown(fingerprint uint64) bool {
+	isNamed := func(part string) bool { return part != "" }
+	if e, ok := q.entries[fingerprint]; ok && slices.ContainsFunc(e.parts, isNamed) {
+		return true
+	}
+	return slices.ContainsFunc(q.SuspectedParts(fingerprint), isNamed)
+}
+
 // entryDiscounted reports whether all parts of a peer's quarantine that began at the given
 // time have been cleared here, and queues the clearances of those that have.
 func (q *Quarantiner) entryDiscounted(e Entry, began time.Time) bool {
--- a/core/quarantiner/reports.go
+++ b/core/quarantiner/reports.go
@@ -12,7 +12,8 @@
 	Fingerprint uint64
 	Target      string
 	// Parts holds the part at which the target was lost, or those at which runs have
-	// completed. Without any, the report concerns all parts.
+	// completed. A loss without any concerns all parts, and a clearance only losses without
+	// any: a process that does not tell parts apart takes a run at another part as proof.
 	Parts []string
 }
 
@@ -99,12 +100,13 @@
 	r.unpublished[key] = scheduledReport{report, due}
 }
 
-// joinClearances returns the clearance of the parts of both. One without parts covers all.
+// joinClearances returns the clearance of the parts of both. The losses without parts, which
+// one without parts ends, are ended by each clearance.
 func joinClearances(a, b Report) Report {
-	if len(a.Parts) == 0 || len(b.Parts) == 0 {
+	parts := slices.Concat(a.Parts, b.Parts)
+	if len(parts) == 0 {
 		return Report{Fingerprint: a.Fingerprint}
 	}
-	parts := slices.Concat(a.Parts, b.Parts)
 	slices.Sort(parts)
 	return Report{Fingerprint: a.Fingerprint, Parts: slices.Compact(parts)}
 }
@@ -112,14 +114,15 @@
 // Clear drops the unpublished losses of a run that has completed. If losses of it are
 // published, it schedules a clearance.
 func (r *Reports) Clear(now time.Time, run Run) {
+	clearance := clearanceOf(run)
 	for key, report := range r.unpublished {
-		if key.fingerprint == run.Fingerprint && !key.clearance() && report.concerns(run.Part) {
+		if key.fingerprint == run.Fingerprint && !key.clearance() && clearance.Ends(report.Report) {
 			delete(r.unpublished, key)
 		}
 	}
 	for key, report := range r.published {
-		if key.fingerprint == run.Fingerprint && !key.clearance() && report.concerns(run.Part) {
-			r.Add(clearanceOf(run), now)
+		if key.fingerprint == run.Fingerprint && !key.clearance() && clearance.Ends(report) {
+			r.Add(clearance, now)
 			return
 		}
 	}
@@ -154,6 +157,9 @@
 // endedBy returns what is left of an earlier report after a later one of the other kind, and
 // false if nothing is.
 func endedBy(earlier, later Report) (Report, bool) {
+	if later.Clearance() && !later.Ends(earlier) {
+		return earlier, true
+	}
 	if len(earlier.Parts) == 0 || len(later.Parts) == 0 {
 		return Report{}, false
 	}
@@ -161,6 +167,14 @@
 	return earlier, len(earlier.Parts) > 0
 }
 
+// Ends reports whether a clearance ends a loss, or a part of it.
+func (r Report) Ends(loss Report) bool {
+	if len(r.Parts) == 0 || len(loss.Parts) == 0 {
+		return len(loss.Parts) == 0
+	}
+	return slices.ContainsFunc(loss.Parts, r.concerns)
+}
+
 // Withdrawn records that a report can no longer be read, and returns it if it could until
 // now.
 func (r *Reports) Withdrawn(report Report) (Report, bool) {
--- a/entry/inspector/inspector_test.go
+++ b/entry/inspector/inspector_test.go
@@ -298,3 +298,33 @@
 		}
 	})
 }
+
+// A VM of an earlier build takes a run at another shard for proof, and publishes a clearance
+// that names no parts. It ended the quarantine of a request that crashes the targets of one
+// shard, which was then sent again.
+func TestClearanceWithoutParts(t *testing.T) {
+	run(t, 3, refuse, func(s *store, vms []*inspector.Inspector) {
+		for k, id := range []string{"t1", "t2", "t3"} {
+			vms[k].Broke(target(id), poison, ignore)
+		}
+		time.Sleep(4 * time.Second)
+		vms[0].MergeReports(time.Now(), []quarantiner.Report{{Fingerprint: poison}})
+		s.change(storer.Item{Key: "suspects/0000000000000007/cleared", Value: []byte("{}")})
+		time.Sleep(4 * time.Second)
+		late := newInspector(refuse, timer.NewService())
+		late.ReplaceItems(s.all())
+		vms[1].ReplaceItems(s.all())
+		for k, i := range append(vms, late) {
+			if i.Quarantined(poison) == 0 {
+				t.Errorf("VM %d sends the request", k)
+			}
+		}
+		vms[2].Completed(target("t4"), poison)
+		time.Sleep(4 * time.Second)
+		for k, i := range vms {
+			if i.Quarantined(poison) > 0 {
+				t.Errorf("VM %d refuses the request after a run at its part", k)
+			}
+		}
+	})
+}
--- a/entry/inspector/publisher.go
+++ b/entry/inspector/publisher.go
@@ -101,8 +101,8 @@
 
 // reportValue is the value of a report's key.
 type reportValue struct {
-	// Parts are the services of the report. An operator who writes a key by hand, and VMs of
-	// earlier versions, leave them out: the report then concerns all.
+	// Parts are the services of the report. VMs of earlier versions leave them out: a loss then
+	// concerns all, and a clearance only such losses.
 	Parts []string `json:"parts,omitempty"`
 }
 
@@ -239,7 +239,7 @@
 			continue
 		}
 		reports = slices.DeleteFunc(reports, func(loss quarantiner.Report) bool {
-			if loss.Fingerprint != clearance.Fingerprint || !cancels(clearance, loss) {
+			if loss.Fingerprint != clearance.Fingerprint || !clearance.Ends(loss) {
 				return false
 			}
 			i.reports.Published(loss)
@@ -251,11 +251,6 @@
 	return reports
 }
 
-// cancels reports whether a clearance covers the part of a loss.
-func cancels(clearance, loss quarantiner.Report) bool {
-	return len(clearance.Parts) == 0 || len(loss.Parts) == 0 || slices.Contains(clearance.Parts, loss.Parts[0])
-}
-
 // currentReports returns the reports among items that hold, by the order in which they were
 // written, and those whose value cannot be read, which stay as they are.
 func (i *Inspector) currentReports(items []storer.Item) (current, unreadable []quarantiner.Report) {
