Put the last of many large configurations in force without delay

There is no pause after an answer that may have been cut off. Versions are decoded beside the reading, and those that a newer one has replaced are skipped. Routes with the same text as in the version before are shared with it.

--- a/core/router/table.go
+++ b/core/router/table.go
@@ -83,6 +83,17 @@
 
 // NewTable returns the table of the given routes and services.
 func NewTable(version int64, limits Limits, routes []Route, services []Service) *Table {
+	list := make([]*Route, len(routes))
+	for i := range routes {
+		route := routes[i]
+		list[i] = &route
+	}
+	return NewSharedTable(version, limits, list, services)
+}
+
+// NewSharedTable returns the table of the given routes, which may be shared with other tables
+// and must not be modified, and services.
+func NewSharedTable(version int64, limits Limits, routes []*Route, services []Service) *Table {
 	t := &Table{
 		Version:        version,
 		Limits:         limits,
@@ -96,7 +107,7 @@
 	}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
-		t.routes[host] = append(t.routes[host], &route)
+		t.routes[host] = append(t.routes[host], route)
 		t.routeNames[route.Name] = true
 		for _, shard := range route.Shards {
 			t.routedServices[shard] = true
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -109,6 +109,7 @@
 	rejections *logger.Rejections
 	// watchWait and batchPause are the current values of Config.WatchWait and BatchDelay.
 	watchWait, batchPause atomic.Int64
+	decoding              configurations
 }
 
 // Listeners are called after each change of the State and of the entry VMs.
@@ -161,6 +162,7 @@
 // it reads all keys, then follows their changes, and reads all keys again if the
 // store has dropped changes that it needs.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.decoding.Wait()
 	for f.link.WaitUp(ctx) {
 		listing, err := f.store.List(ctx, allKeys)
 		if err != nil {
@@ -202,7 +204,7 @@
 			f.peers.PublishChanges(position, listing)
 			position = listing.Position
 			f.applyChanges(listing)
-			if len(listing.Items) > 0 {
+			if len(listing.Items) > 0 && !mayBeCutOff(listing) {
 				f.timers.Sleep(ctx, f.batchDelay())
 			}
 		case storer.IsKind(result.err, storer.KindHistoryLost):
@@ -256,30 +258,6 @@
 	f.timers.Sleep(ctx, f.config.RetryDelay)
 }
 
-// applyConfigurations puts the configurations of a listing in force unless a newer
-// version is.
-func (f *Follower) applyConfigurations(listing storer.Listing) {
-	for _, item := range listing.Items {
-		if item.Key != decoder.ConfigurationKey || item.Gone {
-			continue
-		}
-		table, err := decoder.Configuration(item.Value)
-		if err != nil {
-			f.rejections.Add("configuration", item.Key, err)
-			continue
-		}
-		if !f.state.setTable(table) {
-			continue
-		}
-		f.log.Info("configuration in force", zap.Int64("version", table.Version),
-			zap.Uint64("revision", item.Revision), zap.Uint64("era", listing.Position.Era), zap.Int("routes", table.RouteCount()), zap.Int("workspaces", len(table.Workspaces())))
-		for _, c := range table.KeyConflicts() {
-			f.log.Warn("two workspaces have the same key, which counts for the first", zap.String("workspace", c.Holder), zap.String("other", c.Other))
-		}
-		f.listeners.Table(table)
-	}
-}
-
 func (f *Follower) replaceTargets(listing storer.Listing) {
 	now := f.timers.Now()
 	entries := make([]registrar.Entry, 0, len(listing.Items))
