--- a/core/diverter/neighbours.go
+++ b/core/diverter/neighbours.go
@@ -14,6 +14,14 @@
 // avoidPeriod is how long a VM that could not take a request is not asked again.
 const avoidPeriod = 2 * time.Second
 
+// recentPeriod is how long a VM that has taken a request is preferred. While most VMs are cut
+// off, those chosen at random mostly cannot take a request either.
+const recentPeriod = 2 * time.Second
+
+// exploreShare is the share of the requests for which a VM is chosen at random nevertheless, so
+// that the load of this VM spreads over all that take requests.
+const exploreShare = 0.25
+
 // Neighbours chooses the VM that takes a request which this VM cannot serve. It is safe for
 // concurrent use.
 type Neighbours struct {
@@ -21,13 +29,14 @@
 
 	mu      sync.Mutex
 	members []registrar.Member
-	// avoidUntil holds the VMs that could not take a request.
-	avoidUntil map[string]time.Time
+	// avoidUntil holds the VMs that could not take a request, and tookAt when others last took
+	// one.
+	avoidUntil, tookAt map[string]time.Time
 }
 
 // NewNeighbours returns the neighbours of the VM self, none at first.
 func NewNeighbours(self registrar.Member) *Neighbours {
-	return &Neighbours{self: self, avoidUntil: make(map[string]time.Time)}
+	return &Neighbours{self: self, avoidUntil: make(map[string]time.Time), tookAt: make(map[string]time.Time)}
 }
 
 // SetMembers replaces the known entry VMs.
@@ -35,9 +44,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.members = members
-	maps.DeleteFunc(n.avoidUntil, func(name string, _ time.Time) bool {
+	isGone := func(name string, _ time.Time) bool {
 		return !slices.ContainsFunc(members, func(m registrar.Member) bool { return m.Name == name })
-	})
+	}
+	maps.DeleteFunc(n.avoidUntil, isGone)
+	maps.DeleteFunc(n.tookAt, isGone)
+}
+
+// Took records that a VM has taken a request and answered it.
+func (n *Neighbours) Took(now time.Time, name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tookAt[name] = now
 }
 
 // Avoid records that a VM could not take a request.
@@ -95,5 +113,12 @@
 	if len(candidates) == 0 {
 		return registrar.Member{}, false
 	}
+	recent := slices.DeleteFunc(slices.Concat(near, far), func(m registrar.Member) bool {
+		at, took := n.tookAt[m.Name]
+		return !took || now.Sub(at) > recentPeriod
+	})
+	if len(recent) > 0 && rand.Float64() >= exploreShare {
+		candidates = recent
+	}
 	return candidates[rand.IntN(len(candidates))], true
 }
--- a/core/diverter/neighbours_test.go
+++ b/core/diverter/neighbours_test.go
@@ -65,3 +65,34 @@
 		t.Fatal("vm-a-1 is not asked again after 10 s")
 	}
 }
+
+// While most VMs are cut off, a request must first go to those that have lately taken one: it was
+// refused by six VMs chosen at random. The others must be asked at times, so that the load
+// spreads, and the preference must end.
+func TestVMThatTookARequestIsPreferred(t *testing.T) {
+	var members []registrar.Member
+	for i := range 84 {
+		members = append(members, registrar.Member{Name: fmt.Sprintf("vm-%d", i), Domain: "a", RequestAddress: netip.MustParseAddrPort("10.0.0.1:7")})
+	}
+	n := diverter.NewNeighbours(members[0])
+	n.SetMembers(members)
+	for _, name := range []string{"vm-7", "vm-8", "vm-9"} {
+		n.Took(start, name)
+	}
+	none := container.NewSet[string]()
+	count := func(ms int) map[string]int {
+		chosen := make(map[string]int)
+		for range 1000 {
+			m, _ := n.Choose(at(ms), none)
+			chosen[m.Name]++
+		}
+		return chosen
+	}
+	chosen := count(100)
+	if first := chosen["vm-7"] + chosen["vm-8"] + chosen["vm-9"]; first < 650 || len(chosen) < 20 {
+		t.Errorf("%d of 1000 requests go to VMs that took one, to %d VMs; want at least 650 and 20", first, len(chosen))
+	}
+	if later := count(10_000); later["vm-7"] > 100 {
+		t.Errorf("%d of 1000 requests go to a VM that took one 10 s ago", later["vm-7"])
+	}
+}
