--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,20 +32,35 @@
 	QuotaAddress   netip.AddrPort `json:"quota-address,omitzero"`
 }
 
-// ParseItem returns the entry VM that an item announces, and false for other items.
-// If the value is invalid, such as that of a removed key, only the name is set.
-func ParseItem(item storer.Item) (registrar.Member, bool) {
+// ParseItem returns the entry VM that an item announces, and false for other items. Of a
+// removed key only the name is set. A value in which a field is missing or invalid gives an
+// error with the name set.
+func ParseItem(item storer.Item) (member registrar.Member, ok bool, err error) {
 	name, ok := strings.CutPrefix(item.Key, prefix)
-	if !ok {
-		return registrar.Member{}, false
+	if !ok || name == "" {
+		return registrar.Member{}, false, nil
+	}
+	if item.Gone {
+		return registrar.Member{Name: name}, true, nil
 	}
 	var value announcement
 	if err := json.Unmarshal(item.Value, &value); err != nil {
-		return registrar.Member{Name: name}, true
+		return registrar.Member{Name: name}, true, err
+	}
+	switch {
+	case value.Domain == "":
+		err = errors.New("domain is missing")
+	case !value.Address.IsValid():
+		err = errors.New("address is missing")
+	case !value.RequestAddress.IsValid():
+		err = errors.New("request-address is missing")
+	}
+	if err != nil {
+		return registrar.Member{Name: name}, true, err
 	}
 	return registrar.Member{
 		Name: name, Domain: value.Domain, Address: value.Address, RequestAddress: value.RequestAddress, QuotaAddress: value.QuotaAddress,
-	}, true
+	}, true, nil
 }
 
 // Store is the platform's store.
@@ -109,6 +126,9 @@
 	timers   *timer.Service
 	log      *zap.Logger
 
+	// leaveTimeout bounds the last call, because the process is about to end.
+	leaveTimeout atomic.Int64
+
 	// lease and revision are those of the VM's entry. The lease is zero while there is none.
 	lease    storer.Lease
 	revision uint64
@@ -123,7 +143,14 @@
 func New(config Config, self registrar.Member, hasClients, informed func() bool, store Store, link *supervisor.Link, timers *timer.Service,
 	log *zap.Logger,
 ) *Announcer {
-	return &Announcer{config: config, self: self, hasClients: hasClients, informed: informed, store: store, link: link, timers: timers, log: log}
+	a := &Announcer{config: config, self: self, hasClients: hasClients, informed: informed, store: store, link: link, timers: timers, log: log}
+	a.leaveTimeout.Store(int64(config.LeaveTimeout))
+	return a
+}
+
+// SetGrace replaces the time that a planned stop may take.
+func (a *Announcer) SetGrace(grace time.Duration) {
+	a.leaveTimeout.Store(int64(DefaultConfig(grace).LeaveTimeout))
 }
 
 // Run announces the VM until the context ends, and then removes its entry.
@@ -230,7 +257,7 @@
 	if a.lease == (storer.Lease{}) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), a.config.LeaveTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.leaveTimeout.Load()))
 	defer cancel()
 	if err := a.store.Remove(ctx, prefix+a.self.Name, a.revision); err != nil {
 		a.log.Warn("cannot remove the entry; it remains until its lease expires", zap.Uint64("lease", a.lease.ID), zap.Error(err))
--- a/entry/announcer/announcer_test.go
+++ b/entry/announcer/announcer_test.go
@@ -197,8 +197,8 @@
 		`{"domain":"a","address":"10.0.0.1:2","request-address":"10.0.0.1:3","quota-address":"10.0.0.1:4"}`: true,
 		`{"domain":"a","address":"10.0.0.1:2","request-address":"10.0.0.1:3"}`:                              false,
 	} {
-		member, ok := announcer.ParseItem(storer.Item{Key: "entry-vms/vm-1", Value: []byte(value)})
-		if !ok || member.Domain != "a" || member.QuotaAddress.IsValid() != want {
+		member, ok, err := announcer.ParseItem(storer.Item{Key: "entry-vms/vm-1", Value: []byte(value)})
+		if !ok || err != nil || member.Domain != "a" || member.QuotaAddress.IsValid() != want {
 			t.Errorf("%s: %+v", value, member)
 		}
 	}
--- a/entry/follower/calls_test.go
+++ b/entry/follower/calls_test.go
@@ -277,7 +277,7 @@
 			// Processes of a fleet take different times to start.
 			time.Sleep(time.Duration(random.IntN(5)) * time.Millisecond)
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)}), 80)
-			vms[i].start(network, registrar.Member{Name: fmt.Sprintf("vm-%d", i), Domain: string(rune('a' + i%domains)), Address: address})
+			vms[i].start(network, registrar.Member{Name: fmt.Sprintf("vm-%d", i), Domain: string(rune('a' + i%domains)), Address: address, RequestAddress: address})
 		}
 	}
 	for i := range vms {
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"jackdawcart.org/core/container"
+	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/router"
 	"jackdawcart.org/core/sequencer"
@@ -141,7 +143,11 @@
 	// consistent makes the next full read one that is not older than the call.
 	consistent bool
 	// evacuated holds the failure domains whose targets get no requests.
-	evacuated container.Set[string]
+	evacuated  container.Set[string]
+	rejections *logger.Rejections
+	// watchWait and batchPause are the current values of Config.WatchWait and BatchDelay.
+	watchWait, batchPause atomic.Int64
+	decoding              configurations
 }
 
 // Listeners are called after each change of the State and of the entry VMs.
@@ -153,16 +159,21 @@
 	Evacuated func(domains container.Set[string])
 	// AllItems is called with everything in the store, ChangedItems with each change.
 	AllItems, ChangedItems func(items []storer.Item)
+	// Rejected is called with the kind of each entry that is ignored because it is invalid.
+	// It may be nil.
+	Rejected func(kind string)
 }
 
 // New returns a follower that updates state.
 func New(config Config, store Store, link *supervisor.Link, peers Peers, state *State, timers *timer.Service, log *zap.Logger,
 	listeners Listeners,
 ) *Follower {
-	return &Follower{
+	f := &Follower{
 		config: config, store: store, link: link, peers: peers, state: state, timers: timers, log: log, listeners: listeners,
-		memberSet: registrar.NewMemberSet(config.MemberGracePeriod),
+		memberSet: registrar.NewMemberSet(config.MemberGracePeriod), rejections: logger.NewRejections(log, listeners.Rejected),
 	}
+	f.setDelays(config)
+	return f
 }
 
 // allKeys is the prefix of all keys. Watching them together costs one call instead
@@ -174,7 +185,7 @@
 	f.applyConfigurations(listing)
 	f.replaceEvacuations(listing.Items)
 	f.replaceTargets(listing)
-	f.replaceMembers(listing)
+	f.replaceMembers(listing.Items)
 	f.peers.RecordSnapshot(listing)
 	f.listeners.AllItems(listing.Items)
 }
@@ -184,17 +195,7 @@
 	f.applyConfigurations(listing)
 	f.applyEvacuations(listing.Items)
 	f.applyTargetChanges(listing)
-	for _, item := range listing.Items {
-		member, ok := f.member(item)
-		switch {
-		case !ok:
-		case item.Gone:
-			f.memberSet.MarkMissing(f.timers.Now(), member.Name)
-		default:
-			f.memberSet.MarkPresent(member)
-		}
-	}
-	f.updateMembers()
+	f.applyMembers(listing.Items)
 	f.peers.RecordChanges(listing)
 	f.listeners.ChangedItems(listing.Items)
 }
@@ -232,7 +233,7 @@
 			f.peers.PublishChanges(position, listing)
 			position = listing.Position
 			f.applyConfirmed(listing)
-			if len(listing.Items) > 0 {
+			if len(listing.Items) > 0 && !mayBeCutOff(listing) {
 				f.timers.Sleep(ctx, f.batchDelay())
 			}
 		case storer.IsKind(result.err, storer.KindHistoryLost):
@@ -261,42 +262,27 @@
 	}
 }
 
-// applyConfigurations puts the configurations of a listing in force unless a newer
-// version is.
-func (f *Follower) applyConfigurations(listing storer.Listing) {
-	for _, item := range listing.Items {
-		if item.Key != decoder.ConfigurationKey || item.Gone {
-			continue
-		}
-		table, err := decoder.Configuration(item.Value)
-		if err != nil {
-			f.log.Error("configuration is invalid", zap.Uint64("revision", item.Revision), zap.Error(err))
-			continue
-		}
-		if !f.state.setTable(table) {
-			continue
-		}
-		f.log.Info("configuration in force", zap.Int64("version", table.Version),
-			zap.Uint64("revision", item.Revision), zap.Uint64("era", listing.Position.Era), zap.Int("routes", table.RouteCount()), zap.Int("workspaces", len(table.Workspaces())))
-		for _, c := range table.KeyConflicts() {
-			f.log.Warn("two workspaces have the same key, which counts for the first", zap.String("workspace", c.Holder), zap.String("other", c.Other))
-		}
-		f.listeners.Table(table)
-	}
-}
-
 func (f *Follower) replaceTargets(listing storer.Listing) {
 	now := f.timers.Now()
 	entries := make([]registrar.Entry, 0, len(listing.Items))
+	var unreadable []string
 	for _, item := range listing.Items {
-		if e, ok := f.entry(listing.PositionOf(item), item); ok {
+		id, ok := decoder.TargetID(item.Key)
+		if !ok {
+			continue
+		}
+		if e, ok := f.entry(listing.PositionOf(item), id, item); ok {
 			entries = append(entries, e)
+		} else {
+			unreadable = append(unreadable, id)
 		}
 	}
 	outageEnd := f.link.LongOutageEnd(now, f.config.GracePeriod)
 	var events []registrar.Event
 	first := f.state.TargetCount() == 0
-	f.state.updateRegistry(func(r *registrar.Registry) { events = r.Replace(now, entries, listing.Position, outageEnd) })
+	f.state.updateRegistry(func(r *registrar.Registry) {
+		events = r.Replace(now, entries, listing.Position, outageEnd, unreadable...)
+	})
 	if first {
 		f.log.Info("registrations read", zap.Int("targets", len(events)), zap.Uint64("revision", listing.Position.Revision))
 		f.notify(zapcore.DebugLevel, events)
@@ -319,24 +305,20 @@
 			f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, position, outageEnd)) })
 			continue
 		}
-		if e, ok := f.entry(position, item); ok {
+		if e, ok := f.entry(position, id, item); ok {
 			f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Put(now, e)) })
-			continue
 		}
-		// The new value is not a valid registration, so the target is gone.
-		f.state.updateRegistry(func(r *registrar.Registry) { events = append(events, r.Remove(now, id, position, time.Time{})) })
 	}
 	f.notify(zapcore.InfoLevel, events)
 }
 
-func (f *Follower) entry(position sequencer.Position, item storer.Item) (registrar.Entry, bool) {
-	id, ok := decoder.TargetID(item.Key)
-	if !ok {
-		return registrar.Entry{}, false
-	}
+// entry decodes the registration of the target id, and returns false if it is invalid. Any
+// process may write such a value, so it says nothing about the target, whose former
+// registration stays in force.
+func (f *Follower) entry(position sequencer.Position, id string, item storer.Item) (registrar.Entry, bool) {
 	target, err := decoder.Registration(id, item.Value)
 	if err != nil {
-		f.log.Warn("registration is invalid", zap.String("target", id), zap.Error(err))
+		f.rejections.Add("registration", item.Key, err)
 		return registrar.Entry{}, false
 	}
 	return registrar.Entry{Position: position, Target: target}, true
--- a/entry/follower/members.go
+++ b/entry/follower/members.go
@@ -12,24 +12,39 @@
 	"jackdawcart.org/platform/storer"
 )
 
-// member returns the entry VM that an item announces, and false for other items.
-func (f *Follower) member(item storer.Item) (registrar.Member, bool) {
-	member, ok := announcer.ParseItem(item)
-	if ok && !item.Gone && !member.Address.IsValid() {
-		f.log.Warn("entry VM is announced without a valid address and cannot be polled", zap.String("vm", member.Name), zap.Uint64("revision", item.Revision))
+// replaceMembers applies the entry VMs of a full listing.
+func (f *Follower) replaceMembers(items []storer.Item) {
+	var members []registrar.Member
+	var unreadable []string
+	for _, item := range items {
+		member, ok, err := announcer.ParseItem(item)
+		switch {
+		case !ok:
+		case err != nil:
+			f.rejections.Add("entry-vm", item.Key, err)
+			unreadable = append(unreadable, member.Name)
+		default:
+			members = append(members, member)
+		}
 	}
-	return member, ok
+	f.memberSet.Replace(f.timers.Now(), members, unreadable...)
+	f.updateMembers()
 }
 
-// replaceMembers replaces the entry VMs by those of a full listing.
-func (f *Follower) replaceMembers(listing storer.Listing) {
-	var members []registrar.Member
-	for _, item := range listing.Items {
-		if member, ok := f.member(item); ok {
-			members = append(members, member)
+// applyMembers applies the entry VMs of a listing of changes.
+func (f *Follower) applyMembers(items []storer.Item) {
+	for _, item := range items {
+		member, ok, err := announcer.ParseItem(item)
+		switch {
+		case !ok:
+		case err != nil:
+			f.rejections.Add("entry-vm", item.Key, err)
+		case item.Gone:
+			f.memberSet.MarkMissing(f.timers.Now(), member.Name)
+		default:
+			f.memberSet.MarkPresent(member)
 		}
 	}
-	f.memberSet.Replace(f.timers.Now(), members)
 	f.updateMembers()
 }
 
@@ -61,5 +76,5 @@
 		}
 	}
 	share := max(1/math.Sqrt(float64(max(sameDomain, 1))), minBatchDelayShare)
-	return time.Duration(share * float64(f.config.BatchDelay))
+	return time.Duration(share * float64(f.batchPause.Load()))
 }
--- a/entry/follower/reader.go
+++ b/entry/follower/reader.go
@@ -15,6 +15,7 @@
 // it reads all keys, then follows their changes, and reads all keys again if the
 // store has dropped changes that it needs.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.decoding.Wait()
 	for f.link.WaitUp(ctx) {
 		f.timers.Sleep(ctx, f.callAfter.Sub(f.timers.Now()))
 		listing, current, err := f.readAll(ctx)
@@ -34,7 +35,7 @@
 		} else {
 			// The VM would become ready with what may be seconds old.
 			f.unconfirmed = &listing
-			f.replaceMembers(listing)
+			f.replaceMembers(listing.Items)
 		}
 		f.watch(ctx, listing.Position)
 	}
@@ -142,7 +143,7 @@
 func (f *Follower) watchStore(ctx context.Context, position sequencer.Position) (storer.Listing, watchResult) {
 	upCtx, stop := f.link.WhileUp(ctx)
 	defer stop()
-	wait := f.config.WatchWait
+	wait := time.Duration(f.watchWait.Load())
 	if f.unconfirmed != nil {
 		wait = f.config.ConfirmWait
 	}
--- a/entry/informer/client.go
+++ b/entry/informer/client.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/registrar"
 	"jackdawcart.org/core/sequencer"
 	"jackdawcart.org/core/timer"
@@ -37,6 +38,8 @@
 	timers  *timer.Service
 	count   func(outcome string)
 	log     *zap.Logger
+	// rejections records invalid evidence of other VMs.
+	rejections *logger.Rejections
 
 	mu        sync.Mutex
 	upstreams []registrar.Member
@@ -60,7 +63,7 @@
 ) *Client {
 	return &Client{
 		config: config, self: self, dial: dial, eras: eras, tracker: tracker, loads: loads, reports: reports, timers: timers, count: count, log: log,
-		retryAt: make(map[string]time.Time), started: timers.Now(),
+		retryAt: make(map[string]time.Time), started: timers.Now(), rejections: logger.NewRejections(log, config.Rejected),
 	}
 }
 
@@ -193,7 +196,7 @@
 		return storer.Listing{}, err
 	}
 	c.eras.ObserveEra(answer.GetEra())
-	c.tracker.MergeEvidence(c.timers.Now(), fromEvidence(answer.GetEvidence()))
+	c.tracker.MergeEvidence(c.timers.Now(), fromEvidence(answer.GetEvidence(), c.rejections))
 	c.loads.MergeLoads(c.timers.Now(), fromLoads(answer.GetLoads()))
 	c.reports.MergeReports(c.timers.Now(), fromReports(answer.GetReports()))
 	switch answer.GetState() {
--- a/entry/informer/content.go
+++ b/entry/informer/content.go
@@ -17,11 +17,6 @@
 	bytes    int
 }
 
-// itemOverhead is about what an item takes besides its key and value.
-const itemOverhead = 128
-
-func sizeOf(item storer.Item) int { return len(item.Key) + len(item.Value) + itemOverhead }
-
 // replace sets the content to a full listing.
 func (c *content) replace(listing storer.Listing) {
 	c.complete, c.position, c.bytes = true, listing.Position, 0
--- a/entry/informer/evidence.go
+++ b/entry/informer/evidence.go
@@ -8,9 +8,11 @@
 // evidenceLog holds the latest batches of evidence and loads of all VMs. Batches are numbered
 // consecutively; next is the position after the last one.
 type evidenceLog struct {
-	max     int
-	next    uint64
-	batches []batch
+	maxBatches, maxEvidence int
+	next                    uint64
+	batches                 []batch
+	// evidence is the number of pieces of evidence and of loads in all batches.
+	evidence int
 }
 
 type batch struct {
@@ -25,8 +27,14 @@
 	}
 	l.next++
 	l.batches = append(l.batches, batch{sender, evidence, loads})
-	if len(l.batches) > l.max {
-		l.batches = append([]batch(nil), l.batches[len(l.batches)-l.max:]...)
+	l.evidence += len(evidence) + len(loads)
+	dropped := 0
+	for len(l.batches)-dropped > l.maxBatches || l.evidence > l.maxEvidence {
+		l.evidence -= len(l.batches[dropped].evidence) + len(l.batches[dropped].loads)
+		dropped++
+	}
+	if dropped > 0 {
+		l.batches = append([]batch(nil), l.batches[dropped:]...)
 	}
 }
 
--- a/entry/informer/server.go
+++ b/entry/informer/server.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"jackdawcart.org/core/acceptor"
+	"jackdawcart.org/core/logger"
 	"jackdawcart.org/core/sequencer"
 	"jackdawcart.org/core/timer"
 	"jackdawcart.org/entry/informer/informerpb"
@@ -42,6 +43,8 @@
 	reports ReportTracker
 	timers  *timer.Service
 	log     *zap.Logger
+	// rejections records invalid evidence of other VMs.
+	rejections *logger.Rejections
 
 	mu          sync.Mutex
 	reading     bool
@@ -50,6 +53,8 @@
 	evidenceLog evidenceLog
 	// lastPoll is the time of the last request of another VM.
 	lastPoll time.Time
+	// largeAnswers holds an element for each large answer that is being written.
+	largeAnswers chan struct{}
 	// changed is closed and replaced to wake the waiting requests.
 	changed chan struct{}
 	// pieces holds an element for each piece of the content that is being sent.
@@ -63,8 +68,11 @@
 ) *Server {
 	return &Server{
 		config: config, link: link, eras: eras, tracker: tracker, loads: loads, reports: reports, timers: timers, log: log,
-		history: history{max: config.MaxItems}, evidenceLog: evidenceLog{max: config.MaxBatches}, changed: make(chan struct{}),
-		content: content{maxBytes: config.MaxContentBytes}, pieces: make(chan struct{}, config.MaxPieces),
+		history:     history{maxItems: config.MaxItems, maxBytes: config.MaxHistoryBytes},
+		evidenceLog: evidenceLog{maxBatches: config.MaxBatches, maxEvidence: config.MaxEvidence}, largeAnswers: make(chan struct{}, config.MaxLargeAnswers),
+		changed:    make(chan struct{}),
+		rejections: logger.NewRejections(log, config.Rejected),
+		content:    content{maxBytes: config.MaxContentBytes}, pieces: make(chan struct{}, config.MaxPieces),
 	}
 }
 
@@ -121,7 +129,7 @@
 			defer conn.Close()
 			defer context.AfterFunc(ctx, func() { conn.Close() })()
 			defer s.logPanic(conn.RemoteAddr())
-			s.serveConn(ctx, newMessageConn(conn, s.config.MaxMessageBytes))
+			s.serveConn(ctx, newMessageConn(conn, s.config.MaxRequestBytes))
 		})
 	})
 }
@@ -170,11 +178,11 @@
 			answer.Era = s.eras.Era()
 		}
 		s.mu.Lock()
-		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence()), fromLoads(request.GetLoads()))
+		s.evidenceLog.add(peer, fromEvidence(request.GetEvidence(), s.rejections), fromLoads(request.GetLoads()))
 		remote, loads, n := s.evidenceLog.since(next, peer)
 		s.mu.Unlock()
 		next, answer.Evidence, answer.Loads = n, toEvidence(remote), toLoads(loads)
-		err := conn.write(answer)
+		err := s.write(ctx, conn, answer)
 		sent()
 		if err != nil {
 			s.log.Debug("connection to polling VM lost", zap.String("peer", peer), zap.Error(err))
@@ -184,6 +192,30 @@
 	}
 }
 
+// largeAnswerBytes is the size from which answers are written a few at a time.
+const largeAnswerBytes = 64 << 10
+
+// write sends an answer. All polling VMs ask for a new configuration at once, which must not
+// be in memory once for each of them. The one that has to wait too long has gone meanwhile.
+func (s *Server) write(ctx context.Context, conn *messageConn, answer *informerpb.Answer) error {
+	size := 0
+	for _, item := range answer.GetItems() {
+		size += len(item.GetKey()) + len(item.GetValue())
+	}
+	if size < largeAnswerBytes {
+		return conn.write(answer)
+	}
+	select {
+	case s.largeAnswers <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-s.largeAnswers }()
+	// SetWriteDeadline fails only on a closed connection, which the write below reports.
+	_ = conn.SetWriteDeadline(time.Now().Add(s.config.AnswerMargin))
+	return conn.write(answer)
+}
+
 // unlimited is the budget of a connection that has none.
 type unlimited struct{}
 
--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,9 +52,14 @@
 }
 
 type entry struct {
-	files     Files
+	files Files
+	// own and platform are the settings with which the process has started, and inForce
+	// those of the last reload.
 	own       configurer.Settings
 	platform  decoder.Settings
+	inForce   atomic.Pointer[Settings]
+	reloadMu  sync.Mutex
+	logLevel  zap.AtomicLevel
 	logLines  *logger.Bounded
 	log       *zap.Logger
 	metrics   *meter.Meter
@@ -115,7 +121,9 @@
 		files: files, own: own, platform: platform, spans: spans,
 		logLines: logger.NewBounded(), metrics: meter.New(process, platform.VM), timers: timer.NewService(),
 	}
-	e.log = logger.NewTo(e.logLines, own.LogLevel, process, platform.VM)
+	e.inForce.Store(&Settings{Own: own, Platform: platform})
+	e.logLevel = zap.NewAtomicLevelAt(own.LogLevel)
+	e.log = logger.NewTo(e.logLines, e.logLevel, process, platform.VM)
 	placement := placer.DefaultConfig()
 	placement.MinHedgeShare = e.own.MinHedgeShare
 	e.placer = placer.New(placement, e.platform.VM, e.platform.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -131,7 +139,7 @@
 func (e *entry) assembleFollowing() {
 	e.store = storer.NewClient(e.platform.StoreAddress, e.own.StoreTimeout, storer.Hooks{Called: e.countCall, Restored: e.onStoreRestored})
 	e.link = supervisor.NewLink(e.timers.Now(), longOutage)
-	config := follower.DefaultConfig(min(e.platform.DrainNotice, e.platform.ConfigurationBound), e.platform.StabilityWindow)
+	config := follower.DefaultConfig(applyBound(e.platform), e.platform.StabilityWindow)
 	config.Domain = e.platform.Domain
 	e.state = follower.NewState(config.GracePeriod)
 	e.inspector = inspector.New(dial, e.timers, e.metrics.Scope, e.log)
@@ -141,12 +149,14 @@
 	e.delegator = delegator.New(self, dial, e.timers)
 	self = e.assembleQuotas(self)
 	peerConfig := informer.DefaultConfig()
+	peerConfig.SetMemory(int64(e.platform.MemoryBytes))
+	peerConfig.Rejected = e.countRejected
 	e.peerClient = informer.NewClient(peerConfig, self, dial, e.store, e.placer, e.shares, e.inspector, e.timers, e.countExchange, e.log)
 	e.peerServer = informer.NewServer(peerConfig, e.link, e.store, e.placer, e.shares, e.inspector, e.timers, e.log)
 	e.follower = follower.New(config, e.store, e.link, peers{e.peerClient, e.peerServer}, e.state, e.timers, e.log,
 		follower.Listeners{
 			Table: e.onTable, Target: e.onTarget, EntryVMs: e.onEntryVMs, Evacuated: e.onEvacuated,
-			AllItems: e.inspector.ReplaceItems, ChangedItems: e.inspector.ApplyItems,
+			AllItems: e.inspector.ReplaceItems, ChangedItems: e.inspector.ApplyItems, Rejected: e.countRejected,
 		})
 	e.announcer = announcer.New(announcer.DefaultConfig(e.platform.ShutdownGrace), self, e.peerServer.HasClients, e.peerClient.Informed, e.store, e.link, e.timers, e.log)
 }
@@ -175,6 +185,10 @@
 	e.metrics.Scope.Tagged(map[string]string{"outcome": outcome}).Counter("peer_exchanges").Inc(1)
 }
 
+func (e *entry) countRejected(kind string) {
+	e.metrics.Scope.Tagged(map[string]string{"kind": kind}).Counter("entries_rejected").Inc(1)
+}
+
 func (e *entry) assembleServing() {
 	e.bounds.EntryVMs, e.bounds.Uncounted, e.bounds.Domains = assumedEntryVMs, true, e.platform.Domains
 	e.setBounds(e.platform)
