--- a/entry/runner/runner.go
+++ b/entry/runner/runner.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"sync"
