--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -6,7 +6,6 @@
 package delegator
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -42,8 +41,6 @@
 	Body     []byte
 	Arrived  time.Time
 	Deadline time.Time
-	// Idempotent requests go to another VM if one does not answer, which may be frozen.
-	Idempotent bool
 	// MaxBodyBytes limits the body of the answer.
 	MaxBodyBytes int64
 	// Version is that of the configuration in force on this VM.
@@ -109,8 +106,7 @@
 		}
 		tried.Add(m.Name)
 		outcome.Asked++
-		patience := d.patience(r, outcome.Asked)
-		reply, callerLeft := d.ask(ctx, m, r, grace, patience)
+		reply, callerLeft := d.ask(ctx, m, r, grace)
 		if callerLeft {
 			outcome.VM, outcome.CallerLeft = m.Name, true
 			return outcome
@@ -125,11 +121,6 @@
 		if reply.Result == placer.Unsent || unavailable != "" {
 			continue
 		}
-		if reply.GivenUp() && d.timers.Now().Before(r.Deadline) {
-			// The VM may still run the request, so it is not refused if no other VM takes it.
-			outcome.VM, outcome.Reply = m.Name, reply
-			continue
-		}
 		if reply.Err == nil {
 			d.neighbours.Took(d.timers.Now(), m.Name)
 		}
@@ -140,22 +131,6 @@
 	return outcome
 }
 
-// patienceShare is the share of the remaining time in which a VM has to answer an idempotent
-// request before the next one is asked.
-const patienceShare = 1.0 / 3
-
-// maxImpatient is the number of VMs that get only a share of the time. The next one has all of
-// it, as the targets may be slow instead.
-const maxImpatient = 2
-
-// patience returns how long the VM that is asked next may take, 0 for until the deadline.
-func (d *Delegator) patience(r Request, asked int) time.Duration {
-	if !r.Idempotent || asked > maxImpatient {
-		return 0
-	}
-	return max(time.Duration(patienceShare*float64(r.Deadline.Sub(d.timers.Now()))), connectTimeout)
-}
-
 func (d *Delegator) observeVersion(version int64) {
 	for {
 		known := d.version.Load()
@@ -165,9 +140,8 @@
 	}
 }
 
-// ask sends a request to a VM and waits for the answer, until the caller leaves, or for the
-// given time if it is not 0.
-func (d *Delegator) ask(ctx context.Context, m registrar.Member, r Request, grace, patience time.Duration) (reply courier.Reply, callerLeft bool) {
+// ask sends a request to a VM and waits for the answer, or until the caller leaves.
+func (d *Delegator) ask(ctx context.Context, m registrar.Member, r Request, grace time.Duration) (reply courier.Reply, callerLeft bool) {
 	replies := make(chan courier.Reply, 1)
 	hop := Hop{VM: d.self.Name, MinVersion: max(r.Version, d.Version()), Elapsed: d.timers.Now().Sub(r.Arrived), Key: r.Key}
 	pool := d.pools.Pool(m.Name, m.RequestAddress, courier.Options{MaxOpen: maxConnections, IdleTimeout: idleTimeout})
@@ -177,8 +151,6 @@
 	}, func(got courier.Reply) { replies <- got })
 	connect := d.timers.After(connectTimeout)
 	defer connect.Stop()
-	giveUp := d.timers.After(cmp.Or(patience, r.Deadline.Sub(d.timers.Now())))
-	defer giveUp.Stop()
 	for {
 		select {
 		case reply := <-replies:
@@ -186,11 +158,6 @@
 		case <-connect.C:
 			// A request that is cancelled has its reply at once.
 			exchange.Cancel()
-		case <-giveUp.C:
-			// The reply follows at once, unless an answer has just come. At the deadline the
-			// connection ends by itself.
-			exchange.Cancel()
-			exchange.Abandon(d.timers.Now(), 0)
 		case <-ctx.Done():
 			exchange.Abandon(d.timers.Now(), grace)
 			return courier.Reply{}, true
--- a/entry/responder/delegate.go
+++ b/entry/responder/delegate.go
@@ -146,7 +146,7 @@
 	// The other VM authorizes the caller itself and names the workspace to the target.
 	common := decoder.NewTargetHeader(request.Host, request.Header, c.body, decoder.Identity{Known: c.caller.known})
 	outcome := r.Delegator.Delegate(ctx, delegator.Request{
-		Method: c.method, ID: c.id, Body: c.body, Arrived: c.arrived, Deadline: c.deadline, Idempotent: c.route.Idempotent,
+		Method: c.method, ID: c.id, Body: c.body, Arrived: c.arrived, Deadline: c.deadline,
 		MaxBodyBytes: r.config.MaxAnswerBytes, Version: c.table.Version,
 		Key: c.caller.key, Allowed: c.allowedVM(),
 		Head: func(more http.Header, left time.Duration) []byte {
