--- a/entry/runner/settings_test.go
+++ b/entry/runner/settings_test.go
@@ -23,7 +23,8 @@
 func TestChangedPlatformSettings(t *testing.T) {
 	described := standin.NewVM(0, 0)
 	described.Domain, described.Store, described.ShutdownGrace = "a", "127.0.0.1:1", time.Second
-	text := string(described.Settings()) + "zones.a=north\nlimits.memoryMb=136\n"
+	text := string(described.Settings()) + "zones.a=north\nlimits.memoryMb=136\nlimits.maxFds=2870\n" +
+		"bounds.quotaWindowS=5\nbounds.quotaOverage=0.1\nbounds.quotaSlack=20\nbounds.coldOverage=1.5\nbounds.coldSlack=5\n"
 	parse := func(text string) runner.Settings {
 		s, err := decoder.ParseSettings("settings", text)
 		if err != nil {
@@ -39,6 +40,8 @@
 		"nodeName": {"other", true}, "zone": {"b", true}, "zones.a": {"south", true},
 		"bindAddresses.front": {"127.0.0.9:1", true}, "bindAddresses.ready": {"127.0.0.9:2", true},
 		"internalPortRange": {"1,9", true}, "limits.memoryMb": {"184", true},
+		"limits.maxFds": {"4100", true}, "bounds.quotaWindowS": {"9", false}, "bounds.quotaOverage": {"0.2", false},
+		"bounds.quotaSlack": {"30", false}, "bounds.coldOverage": {"2", false}, "bounds.coldSlack": {"9", false},
 		"platform.address": {"127.0.0.9:3", false}, "platform.ttlMinMs": {"2000", false},
 		"bounds.drainMs": {"9", false}, "bounds.graceS": {"4", false}, "bounds.configApplyMs": {"9", false},
 		"bounds.stabilityWindowMs": {"9", false}, "bounds.retryBudgetRatio": {"0.9", false},
