Read through: one share for a rejection, no unused field

A request that was rejected under overload had the share of its class computed twice, once to decide and once for the log line, which now shows the share that decided. Service.ColdTime was decoded and read by nothing: registrations say how long a target is cold.

--- a/core/router/table.go
+++ b/core/router/table.go
@@ -53,9 +53,8 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int
-	// ColdTime is how long a target is cold after its start, and ColdRate the requests a
-	// second that all VMs together may send to a cold one; 0 means no limit.
-	ColdTime time.Duration
+	// ColdRate is the number of requests a second that all VMs together may send to a cold
+	// target; 0 means no limit. How long one is cold is in its registration.
 	ColdRate float64
 }
 
--- a/core/sharer/group.go
+++ b/core/sharer/group.go
@@ -42,10 +42,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.state(now, index)
-	if s.Admit(now, class, draw) {
+	share, ok := s.admit(now, class, draw)
+	if ok {
 		return Refusal{}, true
 	}
-	return Refusal{Share: s.Share(now, class), Total: s.Total()}, false
+	return Refusal{Share: share, Total: s.Total()}, false
 }
 
 // Ended records the end of an admitted request.
--- a/core/sharer/sharer.go
+++ b/core/sharer/sharer.go
@@ -74,11 +74,17 @@
 // Admit reports whether a request is admitted. draw is a random number in [0, 1). An admitted
 // request must be ended with Ended.
 func (s *State) Admit(now time.Time, class Class, draw float64) bool {
-	if draw < s.Share(now, class) {
-		return true
+	_, ok := s.admit(now, class, draw)
+	return ok
+}
+
+// admit is Admit, and also returns the admitted share of the class.
+func (s *State) admit(now time.Time, class Class, draw float64) (share float64, ok bool) {
+	if share = s.Share(now, class); draw < share {
+		return share, true
 	}
 	s.add(Load{Class: class, Requests: 1})
-	return false
+	return share, false
 }
 
 // Ended records the end of an admitted request. served is false only if overload made it fail
