--- a/review/stage-2/extra.go
+++ b/review/stage-2/extra.go
@@ -9,9 +9,16 @@
 
 func init() { cases["extra"] = playExtra }
 
-// playExtra sends requests that are not idempotent, one after the other, to a service with
-// two backends. A share of the backends' complete answers is followed by additional bytes, which arrive
-// late, where the next answer on the connection is expected.
+const (
+	// extraBackends is the number of backends, of which the first faultyBackends send additional
+	// bytes after one answer in extraInterval: 0.6 of the backends, 0.03 of their answers.
+	extraBackends, faultyBackends = 5, 3
+	extraInterval                 = 34
+)
+
+// playExtra sends requests that are not idempotent, one after the other, to a service. A part
+// of the complete answers of some backends is followed by additional bytes, which arrive late,
+// where the next answer on the connection is expected.
 func playExtra(s *Stage) {
 	store := s.ServeStore(nil)
 	s.Configure(map[string]any{
@@ -19,8 +26,7 @@
 	})
 	var answers, extras atomic.Int64
 	before := func(x Exchange) error {
-		// Three in a hundred, on kept connections only.
-		if n := answers.Add(1); !s.Trouble || x.Number == 0 || n%33 != 0 {
+		if n := answers.Add(1); !s.Trouble || x.Number == 0 || n%extraInterval != 0 {
 			return nil
 		}
 		extras.Add(1)
@@ -28,15 +34,19 @@
 		_, err := io.WriteString(x.Conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 		return err
 	}
-	for i := range 2 {
-		s.StartBackend(&Backend{ID: fmt.Sprintf("i-%d", i), Service: "certificados", Zone: Zones[0], Work: 10 * time.Millisecond, Before: before})
+	for i := range extraBackends {
+		b := &Backend{ID: fmt.Sprintf("i-%d", i), Service: "certificados", Zone: Zones[0], Work: 10 * time.Millisecond}
+		if i < faultyBackends {
+			b.Before = before
+		}
+		s.StartBackend(b)
 	}
 	vm := s.NewVM(0, Zones[0], store, "")
 	vm.Start()
 	vm.WaitReady(10 * time.Second)
 	client := s.NewClient()
 	twice := 0
-	for n := range 400 {
+	for n := range 600 {
 		id := fmt.Sprintf("%016x", n+1)
 		s.Note("sent   request %s", id)
 		a := client.Send(vm, "POST", "/goka902/2f", id, 2500*time.Millisecond, "issue one certificate", "")
--- a/review/stage-2/status.go
+++ b/review/stage-2/status.go
@@ -9,7 +9,7 @@
 
 func init() { cases["status"] = playStatus }
 
-// playStatus sends requests that are not idempotent to a service of which one backend in seven
+// playStatus sends requests that are not idempotent to a service of which one backend in eight
 // fails a part of what it runs, with a status of its own and without Not-Executed.
 func playStatus(s *Stage) {
 	store := s.ServeStore(nil)
@@ -27,7 +27,7 @@
 			x.ID, x.Backend.Stamp(x.ID), len(body), body)
 		return err
 	}
-	for i := range 7 {
+	for i := range 8 {
 		b := &Backend{ID: fmt.Sprintf("i-%d", i), Service: "certificados", Zone: Zones[0], Work: 10 * time.Millisecond}
 		if i == 4 {
 			b.Answer = fail
