--- a/review/stage-2/lateput.go
+++ b/review/stage-2/lateput.go
@@ -19,7 +19,7 @@
 	// name 1 to 6 s.
 	lateBy = 4 * time.Second
 	// recovery is the bound recoveryS.
-	recovery = 12 * time.Second
+	recovery = 15 * time.Second
 )
 
 // lossyStore loses the answers of some transactions and executes them late.
@@ -106,7 +106,7 @@
 	for i := range 3 {
 		s.StartBackend(&Backend{ID: fmt.Sprintf("i-%d", i), Service: "certificados", Zone: Zones[i], Work: 10 * time.Millisecond})
 	}
-	const quotas = "bounds.quotaWindowS=5\nbounds.quotaOverage=0.1\nbounds.quotaSlack=20\n"
+	const quotas = "bounds.recoveryS=15\nbounds.quotaWindowS=5\nbounds.quotaOverage=0.1\nbounds.quotaSlack=20\n"
 	vms := []*VM{s.NewVM(0, Zones[0], store, quotas), s.NewVM(1, Zones[1], store, quotas)}
 	startAll := func() {
 		for _, vm := range vms {
@@ -147,7 +147,7 @@
 	served, sent = serve(recovery)
 	s.Note("during the recovery: %d of %d requests served", served, sent)
 	total, ok := 0, 0
-	for time.Since(back) < recovery+84*time.Second {
+	for time.Since(back) < recovery+72*time.Second {
 		served, sent = serve(12 * time.Second)
 		ok, total = ok+served, total+sent
 		s.Note("%.0f s after the start: %d of the last %d requests served; registered machines: %q",
